Add build, design page and shared data types

The project starts with its design page, a Maven build with formatter, Error Prone and Checkstyle, and the records that all modules share: positions with term histories, endpoint calls and answers, engine events and actions, and the messages between proxies and control processes. Positions are compared by term history because an index alone means nothing after a failover.

--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the {@code ragwortmoor} program. */
+package org.ragwortmoor.cli;
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ControlUpdate.java
@@ -0,0 +1,53 @@
+package org.ragwortmoor.coordination.control;
+
+import io.vavr.control.Option;
+import java.util.List;
+import org.ragwortmoor.state.GroupView;
+
+/**
+ * The leader's answer to a {@link ProxyReport}.
+ *
+ * @param proxy proxy that sent the report
+ * @param leaderTerm consensus term of the leader; a proxy ignores updates of lower terms
+ * @param reportSequence sequence of the report
+ * @param reportSentAt {@code sentAt} of the report
+ * @param rulesLeaseMillis validity of the rules from {@code reportSentAt} on, in milliseconds
+ * @param shareLeaseMillis validity of the shares from {@code reportSentAt} on, in milliseconds
+ * @param rules newest rules, if the report named an older version
+ * @param pending pending rules with wider scopes that the proxy has not prepared yet
+ * @param groups the groups that changed since the proxy's last report of this incarnation
+ * @param shares the proxy's share of each endpoint
+ * @param tokenKeys keys for session tokens, newest first
+ */
+public record ControlUpdate(
+        String proxy,
+        long leaderTerm,
+        long reportSequence,
+        long reportSentAt,
+        long rulesLeaseMillis,
+        long shareLeaseMillis,
+        Option<RulesText> rules,
+        Option<RulesText> pending,
+        List<GroupView> groups,
+        List<Share> shares,
+        List<TokenKey> tokenKeys) {
+    /** Copies the lists. */
+    public ControlUpdate {
+        groups = List.copyOf(groups);
+        shares = List.copyOf(shares);
+        tokenKeys = List.copyOf(tokenKeys);
+    }
+
+    /** A version of the rule file. */
+    public record RulesText(long version, String text) {}
+
+    /**
+     * A proxy's share of one endpoint.
+     *
+     * @param floor connections that the proxy may keep without a lease
+     * @param connections connections that the proxy may use while the lease is valid
+     * @param longPermits long statements that it may run at a time while the lease is valid
+     */
+    public record Share(
+            String group, String endpoint, int floor, int connections, int longPermits) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ProxyReport.java
@@ -0,0 +1,56 @@
+package org.ragwortmoor.coordination.control;
+
+import java.util.List;
+
+/**
+ * What a proxy reports to the control processes in each heartbeat.
+ *
+ * @param proxy identifier of the proxy
+ * @param incarnation random number that changes with each start of the proxy
+ * @param failureDomain failure domain in which the proxy runs
+ * @param sequence number of the report, ascending within an incarnation
+ * @param rulesVersion newest rule version that the proxy applies
+ * @param preparedVersion newest pending rule version whose scopes the proxy holds back; 0 if none
+ * @param stopping whether the proxy is stopping
+ * @param sentAt time at which the proxy sent the report, in nanoseconds of the proxy's clock; the
+ *     answer returns it, so that the proxy counts leases from there
+ * @param endpoints what the proxy observed of each endpoint
+ */
+public record ProxyReport(
+        String proxy,
+        long incarnation,
+        String failureDomain,
+        long sequence,
+        long rulesVersion,
+        long preparedVersion,
+        boolean stopping,
+        long sentAt,
+        List<EndpointObservation> endpoints) {
+    /** Copies the list. */
+    public ProxyReport {
+        endpoints = List.copyOf(endpoints);
+    }
+
+    /**
+     * What a proxy observed of one endpoint.
+     *
+     * @param group group of the endpoint
+     * @param endpoint the endpoint
+     * @param silentMillis time since the endpoint's last answer of any kind, in milliseconds; a
+     *     proxy that never had one reports the time since it first tried
+     * @param connections connections that the proxy holds
+     * @param wanted connections that the proxy could use now
+     * @param longRunning long statements that the proxy runs
+     * @param longWanted long statements that wait in the proxy
+     * @param promisedTerm promised term last seen
+     */
+    public record EndpointObservation(
+            String group,
+            String endpoint,
+            long silentMillis,
+            int connections,
+            int wanted,
+            int longRunning,
+            int longWanted,
+            long promisedTerm) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/CallerRequest.java
@@ -0,0 +1,89 @@
+package org.ragwortmoor.coordination.engine;
+
+import java.util.List;
+import org.ragwortmoor.state.Position;
+import org.ragwortmoor.state.endpoint.Operation;
+import org.ragwortmoor.state.endpoint.WriteIdentity;
+
+/**
+ * A request of a caller to one group. All deadlines are in nanoseconds of the monotonic clock that
+ * the engine is driven by.
+ */
+public sealed interface CallerRequest {
+    /** Returns the identifier that the answer carries; unique within the proxy. */
+    long id();
+
+    /** Returns the session; the queue is fair between sessions. */
+    String session();
+
+    /** Returns the time after which the caller no longer waits. */
+    long deadline();
+
+    /**
+     * Reads records.
+     *
+     * @param position the session's position in the group; {@link Position#ZERO} if it has none
+     * @param maxAgeNanos with {@code AGE}, the accepted age in nanoseconds, otherwise 0
+     * @param label work label; requests of one label take about equally long
+     * @param serviceMicros length of the statement in microseconds, passed on to the endpoint
+     */
+    record Read(
+            long id,
+            String session,
+            List<Operation> operations,
+            ReadLevel level,
+            long maxAgeNanos,
+            Position position,
+            String label,
+            long serviceMicros,
+            long deadline)
+            implements CallerRequest {}
+
+    /**
+     * Runs reads and writes as one transaction.
+     *
+     * @param identity identity of the write; attempt 1 unless the caller knows of a cancellation
+     * @param repeatable whether the write may be executed more than once
+     */
+    record Write(
+            long id,
+            String session,
+            List<Operation> operations,
+            WriteIdentity identity,
+            boolean repeatable,
+            String label,
+            long serviceMicros,
+            long deadline)
+            implements CallerRequest {}
+
+    /**
+     * Begins a transaction of several statements.
+     *
+     * @param transactionDeadline time at which the transaction is rolled back if it is still open
+     */
+    record Begin(long id, String session, long transactionDeadline, long deadline)
+            implements CallerRequest {}
+
+    /** Runs operations within an open transaction. */
+    record InTransaction(
+            long id,
+            String session,
+            String transaction,
+            List<Operation> operations,
+            long serviceMicros,
+            long deadline)
+            implements CallerRequest {}
+
+    /** Commits an open transaction. */
+    record Commit(
+            long id, String session, String transaction, WriteIdentity identity, long deadline)
+            implements CallerRequest {}
+
+    /** Rolls back an open transaction. */
+    record Rollback(long id, String session, String transaction, long deadline)
+            implements CallerRequest {}
+
+    /** Asks for the outcome of an earlier write; an unexecuted write is cancelled. */
+    record Resolve(long id, String session, WriteIdentity identity, long deadline)
+            implements CallerRequest {}
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Per-group request handling of a proxy as a deterministic state machine without I/O. */
+package org.ragwortmoor.coordination.engine;
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/endpoint/RefusalKind.java
@@ -0,0 +1,23 @@
+package org.ragwortmoor.state.endpoint;
+
+/** Why an endpoint refused a call. A refused call has had no effect. */
+public enum RefusalKind {
+    /** The endpoint is not the primary of the stated term. */
+    NOT_PRIMARY,
+    /** The endpoint promised a higher term. */
+    FENCED,
+    /** Too many statements wait for a slot. */
+    BUSY,
+    /** Another transaction committed a conflicting change first. */
+    CONFLICT,
+    /** The endpoint is leaving and accepts no new work. */
+    LEAVING,
+    /** The connection limit is reached. */
+    CONNECTION_LIMIT,
+    /** The write was cancelled under this attempt or a later one. */
+    CANCELLED,
+    /** The connection has no such transaction. */
+    UNKNOWN_TRANSACTION,
+    /** The call is malformed. */
+    BAD_REQUEST
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable data shared by all layers: positions, term histories, endpoints and groups. */
+package org.ragwortmoor.state;
