Add the rule file: grammar, checks, decisions, diff, explanation

Cause: operators state in one text file who may use a departing partner's records, and every decision must name its line and requester. Considered: a parser generator (the grammar has one form per line, and exact columns and remedies matter more); counting every enclosing partner as an owner (a record with two owners has no single deciding line, so the longest prefix owns it and OverlappingPartners warns); refusing a scan with any forbidden record (daily service over mixed prefixes would stop, so withheld records are counted instead).

--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/rules/Operations.java
@@ -0,0 +1,44 @@
+package org.ragwortmoor.state.rules;
+
+import io.vavr.control.Option;
+
+/** The operations that an {@code allow} or {@code deny} line names. */
+public enum Operations {
+    /** {@code read}. */
+    READ("read"),
+    /** {@code write}. */
+    WRITE("write"),
+    /** {@code read,write}. */
+    READ_WRITE("read,write");
+
+    private final String text;
+
+    Operations(String text) {
+        this.text = text;
+    }
+
+    /** Returns the operations that {@code text} names, if it is one of the three forms. */
+    public static Option<Operations> parse(String text) {
+        for (Operations value : values()) {
+            if (value.text.equals(text)) {
+                return Option.of(value);
+            }
+        }
+        return Option.none();
+    }
+
+    /** Returns whether {@code access} is among the operations. */
+    public boolean includes(Access access) {
+        return this == READ_WRITE || name().equals(access.name());
+    }
+
+    /** Returns whether every operation of {@code other} is among these. */
+    public boolean covers(Operations other) {
+        return this == READ_WRITE || this == other;
+    }
+
+    /** Returns the text form in the rule file. */
+    public String text() {
+        return text;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/rules/package-info.java
@@ -0,0 +1,2 @@
+/** The rule file: grammar, checks, decisions, differences and explanations. */
+package org.ragwortmoor.state.rules;
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/state/rules/OverlappingPartnersTest.java
@@ -0,0 +1,31 @@
+package org.ragwortmoor.state.rules;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against an overlooked change of owner inside a prefix. */
+class OverlappingPartnersTest {
+    @Test
+    void allowed() {
+        assertThat(
+                        RuleCases.places(
+                                "OverlappingPartners",
+                                "scope f c/ # requested by A",
+                                "partner C f c/ # requested by A",
+                                "partner C f c/d # requested by A",
+                                "partner D f b/ # requested by A"))
+                .isEmpty();
+    }
+
+    @Test
+    void warned() {
+        assertThat(
+                        RuleCases.places(
+                                "OverlappingPartners",
+                                "scope f c/ # requested by A",
+                                "partner C f c/ # requested by A",
+                                "partner D f c/d # requested by A"))
+                .containsExactly("3:13");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/state/rules/UnusedScopeTest.java
@@ -0,0 +1,29 @@
+package org.ragwortmoor.state.rules;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against records that are held back for no reason. */
+class UnusedScopeTest {
+    @Test
+    void allowed() {
+        assertThat(
+                        RuleCases.places(
+                                "UnusedScope",
+                                "scope f c/ # requested by A",
+                                "partner C f c/ # requested by A"))
+                .isEmpty();
+    }
+
+    @Test
+    void warned() {
+        assertThat(
+                        RuleCases.places(
+                                "UnusedScope",
+                                "scope f d/ # requested by A",
+                                "scope f c/ # requested by A",
+                                "partner C f c/ # requested by A"))
+                .containsExactly("1:9");
+    }
+}
