Add GroupEngine with routing, admission, pool and confirmation

Cause: proxies need one deterministic state machine per database group. Considered: answering on the primary's answer (loses writes), resending an unanswered write with its key (two live attempts), and one status request per write (many messages). Chosen: confirmation by lineage from coalesced status awaits, and resolving every unanswered write before anything else.

--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Member.java
@@ -0,0 +1,144 @@
+package org.ragwortmoor.coordination.engine;
+
+import org.ragwortmoor.state.EndpointInfo;
+import org.ragwortmoor.state.EndpointStatus;
+import org.ragwortmoor.state.Position;
+
+/** What the proxy knows of one endpoint of the group. */
+final class Member {
+    private static final double SMOOTHING = 0.2;
+
+    private EndpointInfo info;
+    private final Share share = new Share();
+    private final InFlightLimiter limiter;
+    private EndpointStatus status;
+    private long statusSequence;
+    private boolean refusedAsLeaving;
+    private long silentSince;
+    private int shortRunning;
+    private int longRunning;
+    private double roundTripNanos;
+    private double lagNanos;
+
+    Member(EndpointInfo info, InFlightLimiter limiter, long now) {
+        this.info = info;
+        this.limiter = limiter;
+        this.silentSince = now;
+    }
+
+    String name() {
+        return info.endpoint();
+    }
+
+    EndpointInfo info() {
+        return info;
+    }
+
+    /** Returns whether the endpoint must be forgotten because it moved or lost its data. */
+    boolean replacedBy(EndpointInfo next) {
+        return next.incarnation() != info.incarnation() || !next.address().equals(info.address());
+    }
+
+    void describe(EndpointInfo next) {
+        info = next;
+    }
+
+    Share share() {
+        return share;
+    }
+
+    InFlightLimiter limiter() {
+        return limiter;
+    }
+
+    boolean leaving() {
+        return info.leaving() || refusedAsLeaving || (status != null && status.leaving());
+    }
+
+    void refusedAsLeaving() {
+        refusedAsLeaving = true;
+    }
+
+    /** Returns the status that answers the latest request, or null. */
+    EndpointStatus status() {
+        return status;
+    }
+
+    long statusSequence() {
+        return statusSequence;
+    }
+
+    /** Keeps the answer to the latest request; an answer that was overtaken is not newer. */
+    void reported(EndpointStatus next, long sequence) {
+        if (status == null || sequence > statusSequence) {
+            status = next;
+            statusSequence = sequence;
+        }
+    }
+
+    Position last() {
+        return status == null ? Position.ZERO : status.last();
+    }
+
+    void answered(long now) {
+        silentSince = now;
+    }
+
+    long silentNanos(long now) {
+        return Math.max(0, now - silentSince);
+    }
+
+    void roundTrip(long nanos) {
+        roundTripNanos = roundTripNanos == 0 ? nanos : mix(roundTripNanos, (double) nanos);
+    }
+
+    double roundTripNanos() {
+        return roundTripNanos;
+    }
+
+    /** Learns how long the endpoint took to receive an awaited position. */
+    void caughtUpAfter(long nanos) {
+        lagNanos = mix(lagNanos, (double) nanos);
+    }
+
+    double lagNanos() {
+        return lagNanos;
+    }
+
+    private static double mix(double average, double value) {
+        return average + SMOOTHING * (value - average);
+    }
+
+    int running(WorkClass workClass) {
+        return workClass == WorkClass.SHORT ? shortRunning : longRunning;
+    }
+
+    void started(WorkClass workClass) {
+        count(workClass, 1);
+    }
+
+    void ended(WorkClass workClass) {
+        count(workClass, -1);
+    }
+
+    private void count(WorkClass workClass, int by) {
+        if (workClass == WorkClass.SHORT) {
+            shortRunning += by;
+        } else {
+            longRunning += by;
+        }
+    }
+
+    /** Returns whether limits, not counting connections, allow one more statement. */
+    boolean admits(WorkClass workClass, long now) {
+        if (workClass == WorkClass.LONG) {
+            return longRunning < share.longPermits(now);
+        }
+        return limiter.admits(shortRunning, now);
+    }
+
+    /** Returns the load by which candidates are compared. */
+    double load() {
+        return (shortRunning + longRunning + 1) / Math.max(0.1, limiter.limit());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Placement.java
@@ -0,0 +1,149 @@
+package org.ragwortmoor.coordination.engine;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.ragwortmoor.coordination.engine.WorkQueue.Outcome;
+
+/** Chooses the endpoint and the connection on which a waiting request starts. */
+final class Placement {
+    /** A read that waited this long for a replica may take a free place on the primary. */
+    private static final long SPILL_AFTER_NANOS = 5_000_000L;
+
+    private final EngineContext ctx;
+    private final Admission admission;
+    private final ReadRouter router;
+    private long primaryPausedUntil = Long.MIN_VALUE;
+
+    Placement(EngineContext ctx, Admission admission) {
+        this.ctx = ctx;
+        this.admission = admission;
+        this.router =
+                ctx.settings().replicaReads()
+                        ? new LineageReadRouter(ctx)
+                        : new PrimaryReadRouter();
+    }
+
+    /** Holds back new work for a primary that refused its role, until it is asked again. */
+    void pausePrimary() {
+        primaryPausedUntil = ctx.now() + ctx.settings().retryDelayNanos();
+        ctx.timers().at(primaryPausedUntil, () -> {});
+    }
+
+    void primaryChanged() {
+        primaryPausedUntil = Long.MIN_VALUE;
+    }
+
+    boolean primaryUsable() {
+        Member primary = ctx.primary();
+        return primary != null && !primary.leaving() && ctx.now() >= primaryPausedUntil;
+    }
+
+    /** Returns how many statements the lane can have in flight. */
+    double places(Lane lane, WorkClass workClass) {
+        if (lane != Lane.REPLICA) {
+            return ctx.primary() == null ? 0 : places(ctx.primary(), workClass);
+        }
+        return ctx.members().values().stream()
+                .filter(m -> !ctx.isPrimary(m) && !m.leaving())
+                .mapToDouble(m -> places(m, workClass))
+                .sum();
+    }
+
+    private double places(Member member, WorkClass workClass) {
+        int share = member.share().connections(ctx.now());
+        return workClass == WorkClass.LONG
+                ? member.share().longPermits(ctx.now())
+                : Math.min(share, member.limiter().limit());
+    }
+
+    Outcome place(Task task) {
+        return switch (task.lane()) {
+            case TRANSACTION -> placeBound(task);
+            case PRIMARY -> placeOnPrimary(task);
+            case REPLICA -> placeRead((ReadTask) task);
+        };
+    }
+
+    private Outcome placeBound(Task task) {
+        PooledConnection connection = task.boundConnection();
+        if (!connection.member().admits(task.workClass(), ctx.now())) {
+            return Outcome.SKIPPED;
+        }
+        task.run(connection.member(), connection);
+        return Outcome.TAKEN;
+    }
+
+    private Outcome placeOnPrimary(Task task) {
+        return primaryUsable() ? start(task, ctx.primary()) : Outcome.STOP;
+    }
+
+    private Outcome start(Task task, Member member) {
+        if (admission.tooLate(task)) {
+            admission.refuseTooLate(task);
+            return Outcome.TAKEN;
+        }
+        if (!member.admits(task.workClass(), ctx.now())) {
+            return Outcome.STOP;
+        }
+        PooledConnection connection = ctx.pool().lend(member);
+        if (connection == null) {
+            return Outcome.STOP;
+        }
+        task.run(member, connection);
+        return Outcome.TAKEN;
+    }
+
+    private Outcome placeRead(ReadTask task) {
+        ReadRouter.Route route = router.route(task.need());
+        if (route instanceof ReadRouter.Route.Lost) {
+            task.positionLost();
+            return Outcome.TAKEN;
+        }
+        if (route instanceof ReadRouter.Route.Primary) {
+            return admission.moveToPrimary(task);
+        }
+        if (route instanceof ReadRouter.Route.Await await) {
+            task.awaitReplication(await.until());
+            return Outcome.TAKEN;
+        }
+        return placeOnReplica(task, ((ReadRouter.Route.Replicas) route).candidates());
+    }
+
+    private Outcome placeOnReplica(ReadTask task, List<Member> candidates) {
+        List<Member> free =
+                candidates.stream()
+                        .filter(m -> m.admits(task.workClass(), ctx.now()) && ctx.pool().hasIdle(m))
+                        .toList();
+        if (!free.isEmpty()) {
+            return start(task, task.workClass() == WorkClass.LONG ? last(free) : lessLoaded(free));
+        }
+        return spill(task) ? start(task, ctx.primary()) : Outcome.SKIPPED;
+    }
+
+    private boolean spill(ReadTask task) {
+        return primaryUsable()
+                && task.workClass() == WorkClass.SHORT
+                && ctx.now() - task.queuedAt() >= SPILL_AFTER_NANOS
+                && admission.queued(Lane.PRIMARY, WorkClass.SHORT) == 0
+                && ctx.primary().admits(WorkClass.SHORT, ctx.now())
+                && ctx.pool().hasIdle(ctx.primary());
+    }
+
+    /** Long reads share one replica, so that the others keep their slots for short work. */
+    private static Member last(List<Member> members) {
+        return members.get(members.size() - 1);
+    }
+
+    /** The less loaded of two random candidates: proxies do not all rush to the same endpoint. */
+    private Member lessLoaded(List<Member> members) {
+        if (members.size() == 1) {
+            return members.get(0);
+        }
+        RandomGenerator random = ctx.random();
+        int first = random.nextInt(members.size());
+        int second = random.nextInt(members.size() - 1);
+        Member a = members.get(first);
+        Member b = members.get(second >= first ? second + 1 : second);
+        return a.load() <= b.load() ? a : b;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Timers.java
@@ -0,0 +1,56 @@
+package org.ragwortmoor.coordination.engine;
+
+import java.util.PriorityQueue;
+
+/** Actions that fall due at a given time; equal times run in the order of their registration. */
+final class Timers {
+    private final PriorityQueue<Timer> queue = new PriorityQueue<>();
+    private long sequence;
+
+    /** A registered action. */
+    static final class Timer implements Comparable<Timer> {
+        private final long at;
+        private final long sequence;
+        private Runnable action;
+
+        private Timer(long at, long sequence, Runnable action) {
+            this.at = at;
+            this.sequence = sequence;
+            this.action = action;
+        }
+
+        /** Prevents the action from running. */
+        void cancel() {
+            action = null;
+        }
+
+        @Override
+        public int compareTo(Timer other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    Timer at(long time, Runnable action) {
+        Timer timer = new Timer(time, sequence++, action);
+        queue.add(timer);
+        return timer;
+    }
+
+    void runDue(long now) {
+        while (!queue.isEmpty() && queue.peek().at <= now) {
+            Runnable action = queue.poll().action;
+            if (action != null) {
+                action.run();
+            }
+        }
+    }
+
+    /** Returns the time of the next action, or {@code Long.MAX_VALUE} if there is none. */
+    long next() {
+        while (!queue.isEmpty() && queue.peek().action == null) {
+            queue.poll();
+        }
+        return queue.isEmpty() ? Long.MAX_VALUE : queue.peek().at;
+    }
+}
