--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/daemon/GroupDirectory.java
@@ -0,0 +1,100 @@
+package org.ragwortmoor.daemon;
+
+import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.ragwortmoor.coordination.control.ControlUpdate;
+import org.ragwortmoor.coordination.engine.CallerAnswer;
+import org.ragwortmoor.coordination.engine.EngineEvent;
+import org.ragwortmoor.coordination.engine.EngineSettings;
+import org.ragwortmoor.coordination.engine.GroupEngine;
+import org.ragwortmoor.state.GroupView;
+
+/**
+ * The groups that a proxy serves, each with its host. Safe for concurrent use; its lock is the first
+ * in the lock order.
+ */
+final class GroupDirectory implements AutoCloseable {
+    private final Map<String, GroupHost> hosts = new ConcurrentSkipListMap<>();
+    private final EngineSettings settings;
+    private final String proxy;
+    private final EndpointPort port;
+    private final Consumer<CallerAnswer> replies;
+    private final ScheduledExecutorService timer;
+    private final LongSupplier clock;
+
+    GroupDirectory(
+            EngineSettings settings,
+            String proxy,
+            EndpointPort port,
+            Consumer<CallerAnswer> replies,
+            ScheduledExecutorService timer,
+            LongSupplier clock) {
+        this.settings = settings;
+        this.proxy = proxy;
+        this.port = port;
+        this.replies = replies;
+        this.timer = timer;
+        this.clock = clock;
+    }
+
+    /** Returns the host of a group. */
+    Option<GroupHost> host(String group) {
+        return Option.of(group).flatMap(g -> Option.of(hosts.get(g)));
+    }
+
+    /** Returns all hosts in the order of their groups' names. */
+    Collection<GroupHost> hosts() {
+        return hosts.values();
+    }
+
+    /** Takes the groups and shares of an update of the control leader. */
+    void accept(ControlUpdate update) {
+        for (GroupView view : update.groups()) {
+            hosts.computeIfAbsent(view.group(), this::newHost)
+                    .submit(new EngineEvent.GroupChanged(view));
+        }
+        long deadline = update.reportSentAt() + update.shareLeaseMillis() * 1_000_000;
+        for (ControlUpdate.Share share : update.shares()) {
+            host(share.group())
+                    .forEach(
+                            host ->
+                                    host.submit(
+                                            new EngineEvent.ShareLeased(
+                                                    share.endpoint(),
+                                                    share.floor(),
+                                                    share.connections(),
+                                                    share.longPermits(),
+                                                    deadline)));
+        }
+    }
+
+    /** Begins the planned stop of all groups. */
+    void stop() {
+        List.copyOf(hosts.values()).forEach(h -> h.submit(new EngineEvent.StopRequested()));
+    }
+
+    /** Returns whether the planned stop of all groups is complete. */
+    boolean stopped() {
+        return hosts.values().stream().allMatch(GroupHost::stopped);
+    }
+
+    private GroupHost newHost(String group) {
+        RandomGenerator random =
+                RandomGeneratorFactory.of("L64X128MixRandom").create(System.nanoTime());
+        GroupEngine engine = new GroupEngine(settings, proxy, group, random);
+        return new GroupHost(group, engine, port, replies, timer, clock);
+    }
+
+    @Override
+    public void close() {
+        hosts.values().forEach(GroupHost::close);
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/daemon/ProxyConfig.java
@@ -0,0 +1,33 @@
+package org.ragwortmoor.daemon;
+
+import java.util.List;
+import org.ragwortmoor.coordination.engine.EngineSettings;
+
+/**
+ * Checked configuration of a proxy.
+ *
+ * @param name identifier of the proxy, unique in the deployment
+ * @param failureDomain failure domain in which it runs
+ * @param httpHost IP number of the HTTP API
+ * @param httpPort port of the HTTP API; 0 for any
+ * @param controls addresses of the control processes, as IP number and port
+ * @param workers worker threads
+ * @param sessionLifetimeMillis lifetime of a session in milliseconds
+ * @param maxRequestBytes largest request body in bytes
+ * @param engine thresholds of the engines
+ */
+public record ProxyConfig(
+        String name,
+        String failureDomain,
+        String httpHost,
+        int httpPort,
+        List<String> controls,
+        int workers,
+        long sessionLifetimeMillis,
+        long maxRequestBytes,
+        EngineSettings engine) {
+    /** Copies the list. */
+    public ProxyConfig {
+        controls = List.copyOf(controls);
+    }
+}
--- a/app/src/main/java/org/ragwortmoor/http/CallerBodies.java
+++ b/app/src/main/java/org/ragwortmoor/http/CallerBodies.java
@@ -105,6 +105,8 @@
      *
      * @param outcome {@code done}, {@code not-run} or {@code unknown}
      * @param key idempotency key of a write
+     * @param withheld records that a scan found and the rules withhold from the session
+     * @param scannedTo last key that a scan reached; the next page starts after it
      * @param token token that contains what this request saw; to be used from now on
      */
     @JsonInclude(JsonInclude.Include.NON_NULL)
@@ -118,17 +120,20 @@
             Boolean duplicate,
             String transaction,
             String key,
+            Integer withheld,
+            String scannedTo,
             ErrorBody error) {
         /** Returns an answer that says that the request was not executed and never will be. */
         public static Answer notRun(String kind, String message, long retryAfterMillis) {
             ErrorBody error = new ErrorBody(kind, message, retryAfterMillis);
-            return new Answer("not-run", null, null, null, null, null, null, null, null, error);
+            return new Answer("not-run", null, null, null, null, null, null, null, null, null, null, error);
         }
 
         /** Returns an answer that says that the outcome is unknown. */
         public static Answer unknown(String kind, String message, String key) {
             ErrorBody error = new ErrorBody(kind, message, 0);
-            return new Answer("unknown", null, null, null, null, null, null, null, key, error);
+            return new Answer(
+                    "unknown", null, null, null, null, null, null, null, key, null, null, error);
         }
     }
 }
