Add the control group's state machine and the leader's decisions

Proxies and endpoints need one place that decides primaries, shares, members and rule versions. ControlState applies committed commands; ControlCore decides what the leader proposes, calls and answers, from reports and announcements.

Considered: deciding from endpoint promises alone (two leaders could complete one term differently) and counting any incarnation of an endpoint (an empty log could hide acknowledged writes).

ProxyReport names the newest applied update, EndpointStatus the incarnation and ControlUpdate the directory revision; former constructors of the first two stay.

--- a/core/src/main/java/org/ragwortmoor/coordination/control/ControlUpdate.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ControlUpdate.java
@@ -15,9 +15,10 @@
  * @param shareLeaseMillis validity of the shares from {@code reportSentAt} on, in milliseconds
  * @param rules newest rules, if the report named an older version
  * @param pending pending rules with wider scopes that the proxy has not prepared yet
- * @param groups the groups that changed since the proxy's last report of this incarnation
- * @param shares the proxy's share of each endpoint
+ * @param groups the groups that changed after the revision that the proxy acknowledged
+ * @param shares the proxy's share of each endpoint that it reported; of all others it has none
  * @param tokenKeys keys for session tokens, newest first
+ * @param groupsRevision revision of the directory after this update; the proxy acknowledges it
  */
 public record ControlUpdate(
         String proxy,
@@ -30,7 +31,8 @@
         Option<RulesText> pending,
         List<GroupView> groups,
         List<Share> shares,
-        List<TokenKey> tokenKeys) {
+        List<TokenKey> tokenKeys,
+        long groupsRevision) {
     /** Copies the lists. */
     public ControlUpdate {
         groups = List.copyOf(groups);
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/EndpointKey.java
@@ -0,0 +1,15 @@
+package org.ragwortmoor.coordination.control;
+
+/**
+ * Names an endpoint across groups.
+ *
+ * @param group name of the group
+ * @param endpoint identifier within the group
+ */
+public record EndpointKey(String group, String endpoint) implements Comparable<EndpointKey> {
+    @Override
+    public int compareTo(EndpointKey other) {
+        int byGroup = group.compareTo(other.group);
+        return byGroup != 0 ? byGroup : endpoint.compareTo(other.endpoint);
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/coordination/control/ProxyReport.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ProxyReport.java
@@ -15,6 +15,7 @@
  * @param sentAt time at which the proxy sent the report, in nanoseconds of the proxy's clock; the
  *     answer returns it, so that the proxy counts leases from there
  * @param endpoints what the proxy observed of each endpoint
+ * @param acknowledged the newest update that the proxy applied
  */
 public record ProxyReport(
         String proxy,
@@ -25,12 +26,52 @@
         long preparedVersion,
         boolean stopping,
         long sentAt,
-        List<EndpointObservation> endpoints) {
+        List<EndpointObservation> endpoints,
+        Acknowledged acknowledged) {
     /** Copies the list. */
     public ProxyReport {
         endpoints = List.copyOf(endpoints);
     }
 
+    /** Creates a report that acknowledges no update. */
+    public ProxyReport(
+            String proxy,
+            long incarnation,
+            String failureDomain,
+            long sequence,
+            long rulesVersion,
+            long preparedVersion,
+            boolean stopping,
+            long sentAt,
+            List<EndpointObservation> endpoints) {
+        this(
+                proxy,
+                incarnation,
+                failureDomain,
+                sequence,
+                rulesVersion,
+                preparedVersion,
+                stopping,
+                sentAt,
+                endpoints,
+                Acknowledged.NONE);
+    }
+
+    /**
+     * The newest update that a proxy applied.
+     *
+     * <p>A share that was lowered is free for others as soon as the proxy acknowledged the lower
+     * one; without the acknowledgement the leader waits for the end of the lease.
+     *
+     * @param leaderTerm leader term of the update
+     * @param sequence {@code reportSequence} of the update
+     * @param groupsRevision {@code groupsRevision} of the update
+     */
+    public record Acknowledged(long leaderTerm, long sequence, long groupsRevision) {
+        /** No update was applied since the proxy started. */
+        public static final Acknowledged NONE = new Acknowledged(0, 0, 0);
+    }
+
     /**
      * What a proxy observed of one endpoint.
      *
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ProxyShares.java
@@ -0,0 +1,64 @@
+package org.ragwortmoor.coordination.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.ragwortmoor.coordination.control.ControlUpdate.Share;
+import org.ragwortmoor.coordination.control.ProxyReport.Acknowledged;
+
+/**
+ * The shares of one proxy, as the proxy itself keeps them.
+ *
+ * <p>The proxy counts a lease from the sending of its report, so its lease ends before the
+ * leader's. An update replaces all shares, and an older one than the last is ignored.
+ */
+public final class ProxyShares {
+    private final Map<EndpointKey, Share> shares = new HashMap<>();
+    private Acknowledged acknowledged = Acknowledged.NONE;
+    private long deadline = Long.MIN_VALUE;
+
+    /**
+     * Applies an update unless a newer one was applied.
+     *
+     * @return whether it was applied; the other content of an ignored update must be ignored too
+     */
+    public boolean apply(ControlUpdate update) {
+        if (update.leaderTerm() < acknowledged.leaderTerm()
+                || update.reportSequence() <= acknowledged.sequence()) {
+            return false;
+        }
+        acknowledged =
+                new Acknowledged(
+                        update.leaderTerm(), update.reportSequence(), update.groupsRevision());
+        deadline = update.reportSentAt() + update.shareLeaseMillis() * 1_000_000;
+        shares.clear();
+        for (Share share : update.shares()) {
+            shares.put(new EndpointKey(share.group(), share.endpoint()), share);
+        }
+        return true;
+    }
+
+    /** Returns the newest applied update, for the next report. */
+    public Acknowledged acknowledged() {
+        return acknowledged;
+    }
+
+    /** Returns the end of the lease in nanoseconds of the proxy's clock. */
+    public long deadline() {
+        return deadline;
+    }
+
+    /** Returns the connections that the proxy may use at {@code now}. */
+    public int connections(EndpointKey key, long now) {
+        Share share = shares.get(key);
+        if (share == null) {
+            return 0;
+        }
+        return now < deadline ? Math.max(share.floor(), share.connections()) : share.floor();
+    }
+
+    /** Returns the long statements that the proxy may run at a time at {@code now}. */
+    public int longPermits(EndpointKey key, long now) {
+        Share share = shares.get(key);
+        return share == null || now >= deadline ? 0 : share.longPermits();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/RuleTransitions.java
@@ -0,0 +1,147 @@
+package org.ragwortmoor.coordination.control;
+
+import io.vavr.Tuple;
+import io.vavr.Tuple2;
+import io.vavr.collection.Set;
+import io.vavr.collection.TreeSet;
+import io.vavr.control.Option;
+import org.ragwortmoor.coordination.control.CommandResult.Winner;
+
+/** Applies the commands that concern rule files. */
+final class RuleTransitions {
+    private RuleTransitions() {}
+
+    static Tuple2<ControlState, CommandResult> apply(
+            ControlState state, ControlCommand.ApplyRules c) {
+        Option<CommandResult> conflict = conflict(state.rules(), c.expectedVersion());
+        if (conflict.isDefined()) {
+            return Tuple.of(state, conflict.get());
+        }
+        if (RuleScope.widens(scopes(state.rules()), c.scopes())) {
+            return refused(state, "the file widens the scopes; it must be prepared first");
+        }
+        RuleHistory.Entry entry =
+                entry(
+                        state,
+                        c.text(),
+                        c.scopes(),
+                        new Winner(c.operator(), c.operationId(), c.timeMillis()));
+        return Tuple.of(
+                state.withRules(state.rules().accept(entry)),
+                CommandResult.accepted(
+                        entry.version(), "version " + entry.version() + " accepted"));
+    }
+
+    static Tuple2<ControlState, CommandResult> prepare(
+            ControlState state, ControlCommand.PrepareRules c) {
+        Option<CommandResult> conflict = conflict(state.rules(), c.expectedVersion());
+        if (conflict.isDefined()) {
+            return Tuple.of(state, conflict.get());
+        }
+        RuleHistory.Entry entry =
+                entry(
+                        state,
+                        c.text(),
+                        c.scopes(),
+                        new Winner(c.operator(), c.operationId(), c.timeMillis()));
+        return Tuple.of(
+                state.withRules(state.rules().prepare(entry)),
+                CommandResult.pending(
+                        entry.version(),
+                        "version %d waits until every proxy holds its wider scopes back"
+                                .formatted(entry.version())));
+    }
+
+    /** Checks the members here as well: a proxy may have joined since the leader proposed. */
+    static Tuple2<ControlState, CommandResult> activate(
+            ControlState state, ControlCommand.ActivateRules c) {
+        Option<RuleHistory.Entry> pending = state.rules().pending();
+        if (pending.isEmpty() || pending.get().version() != c.version()) {
+            return refused(state, "version " + c.version() + " is not pending");
+        }
+        Set<String> missing = state.members().keySet().removeAll(c.prepared());
+        if (!missing.isEmpty()) {
+            return refused(
+                    state,
+                    "version %d is not prepared by %s"
+                            .formatted(c.version(), missing.mkString(", ")));
+        }
+        return Tuple.of(
+                state.withRules(state.rules().accept(pending.get())),
+                CommandResult.accepted(c.version(), "version " + c.version() + " accepted"));
+    }
+
+    static Tuple2<ControlState, CommandResult> withdraw(
+            ControlState state, ControlCommand.WithdrawRules c) {
+        if (!state.rules().pending().exists(p -> p.version() == c.version())) {
+            return refused(state, "version " + c.version() + " is not pending");
+        }
+        return Tuple.of(
+                state.withRules(state.rules().withdraw()),
+                CommandResult.accepted(c.version(), "version " + c.version() + " withdrawn"));
+    }
+
+    static Tuple2<ControlState, CommandResult> inForce(
+            ControlState state, ControlCommand.RulesInForce c) {
+        if (c.version() <= state.rules().inForce()) {
+            return Tuple.of(state, CommandResult.unchanged("a newer version is in force"));
+        }
+        if (c.version() > state.rules().version()) {
+            return refused(state, "version " + c.version() + " is not accepted");
+        }
+        return Tuple.of(
+                state.withRules(state.rules().markInForce(c.version(), c.timeMillis())),
+                CommandResult.accepted(c.version(), "version " + c.version() + " is in force"));
+    }
+
+    static Set<RuleScope> scopes(RuleHistory rules) {
+        return rules.current().map(RuleHistory.Entry::scopes).getOrElse(TreeSet.empty());
+    }
+
+    private static Option<CommandResult> conflict(RuleHistory rules, long expectedVersion) {
+        if (expectedVersion > rules.version()) {
+            return Option.of(
+                    CommandResult.refused(
+                            "version %d does not exist; the newest is %d"
+                                    .formatted(expectedVersion, rules.version())));
+        }
+        Option<RuleHistory.Entry> first =
+                expectedVersion < rules.version()
+                        ? firstAfter(rules, expectedVersion)
+                        : rules.pending();
+        return first.map(
+                winner ->
+                        CommandResult.conflict(
+                                "%s was first with version %d, operation %s; read it and apply anew"
+                                        .formatted(
+                                                winner.operator(),
+                                                winner.version(),
+                                                winner.operationId()),
+                                Option.of(winner.winner())));
+    }
+
+    /** Looks versions up by number, because versions of withdrawn files are skipped. */
+    private static Option<RuleHistory.Entry> firstAfter(RuleHistory rules, long version) {
+        long next = version + 1;
+        while (next < rules.version() && !rules.accepted().containsKey(next)) {
+            next++;
+        }
+        return rules.accepted().get(next);
+    }
+
+    private static RuleHistory.Entry entry(
+            ControlState state, String text, java.util.Set<RuleScope> scopes, Winner by) {
+        return new RuleHistory.Entry(
+                state.rules().lastVersion() + 1,
+                Option.of(text),
+                TreeSet.ofAll(scopes),
+                by.operator(),
+                by.operationId(),
+                by.timeMillis(),
+                0);
+    }
+
+    private static Tuple2<ControlState, CommandResult> refused(ControlState state, String message) {
+        return Tuple.of(state, CommandResult.refused(message));
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/state/EndpointStatus.java
+++ b/core/src/main/java/org/ragwortmoor/state/EndpointStatus.java
@@ -11,6 +11,7 @@
  * @param queued statements waiting for a slot
  * @param connections open connections of proxies
  * @param leaving whether it announced that it is leaving
+ * @param incarnation random number that changes when the endpoint lost its data; 0 if not stated
  */
 public record EndpointStatus(
         long promisedTerm,
@@ -20,7 +21,21 @@
         int running,
         int queued,
         int connections,
-        boolean leaving) {
+        boolean leaving,
+        long incarnation) {
+
+    /** Creates a status that does not state the incarnation. */
+    public EndpointStatus(
+            long promisedTerm,
+            boolean primary,
+            Position last,
+            TermHistory history,
+            int running,
+            int queued,
+            int connections,
+            boolean leaving) {
+        this(promisedTerm, primary, last, history, running, queued, connections, leaving, 0);
+    }
 
     /** Returns whether the log contains {@code position}. */
     public boolean contains(Position position) {
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/coordination/control/ControlCoreTest.java
@@ -0,0 +1,114 @@
+package org.ragwortmoor.coordination.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.ragwortmoor.coordination.control.CommandResult.Outcome;
+import org.ragwortmoor.coordination.control.OperatorAnswer.Kind;
+
+/** Guards the whole way from announcements and reports to decisions and answers. */
+class ControlCoreTest {
+    private final ControlFixture fixture = new ControlFixture(1).standard(7);
+
+    @Test
+    void aGroupGetsItsFirstPrimaryAndProxiesTheirFloors() {
+        fixture.run(3_000);
+
+        assertThat(fixture.group().term()).isEqualTo(1);
+        assertThat(fixture.primary().primary).isTrue();
+        assertThat(fixture.endpoints.values()).allMatch(e -> e.last().term() == 1);
+        assertThat(fixture.state.members().values()).allMatch(MemberProxy::floorGranted);
+        for (ModelProxy proxy : fixture.proxies.values()) {
+            assertThat(proxy.groups.get("fleet").primary()).isEqualTo(fixture.group().primary());
+            assertThat(proxy.shares.connections(fixture.primary().key(), fixture.now)).isPositive();
+            assertThat(proxy.shares.connections(fixture.primary().key(), Long.MAX_VALUE))
+                    .isEqualTo(1);
+        }
+    }
+
+    /** Guards against calls before the decision and against a primary without a majority. */
+    @Test
+    void aDeadPrimaryIsReplacedWithinTwoSecondsAndFollowsWhenItReturns() {
+        fixture.run(3_000);
+        ModelEndpoint old = fixture.primary();
+        old.alive = false;
+        fixture.run(1_500);
+
+        assertThat(fixture.group().term()).isEqualTo(2);
+        assertThat(fixture.primary()).isNotSameAs(old);
+        assertThat(fixture.primary().promoted).containsExactly(2L);
+        assertThat(fixture.group().reason()).contains("reporters").contains("saw no answer");
+
+        old.alive = true;
+        fixture.run(2_000);
+        assertThat(old.primary).isFalse();
+        assertThat(old.last()).isEqualTo(fixture.primary().last());
+        assertThat(fixture.group().term()).isEqualTo(2);
+    }
+
+    @Test
+    void rulesAreAcceptedAndInForceEverywhereWithinThreeSeconds() {
+        fixture.run(3_000);
+        fixture.operator(new OperatorRequest.Apply(fixture.operation("op-1"), 0, "allow x"));
+        fixture.run(10);
+        assertThat(fixture.answers)
+                .singleElement()
+                .satisfies(
+                        a -> {
+                            assertThat(a.kind()).isEqualTo(Kind.DECIDED);
+                            assertThat(a.result().outcome()).isEqualTo(Outcome.ACCEPTED);
+                            assertThat(a.result().value()).isEqualTo(1);
+                        });
+        fixture.run(2_990);
+        assertThat(fixture.state.rules().inForce()).isEqualTo(1);
+        assertThat(fixture.proxies.values()).allMatch(p -> p.rulesVersion == 1);
+    }
+
+    /** A leader without its lease may be deposed: an answer would extend leases wrongly. */
+    @Test
+    void reportsAreNotAnsweredWhileTheLeaderIsNotReady() {
+        fixture.run(3_000);
+        fixture.feed(new ControlEvent.ReadyChanged(false));
+        fixture.updates.clear();
+        fixture.run(1_000);
+        assertThat(fixture.updates).isEmpty();
+        fixture.operator(new OperatorRequest.RemoveMember(fixture.operation("op-2"), "p0"));
+        assertThat(fixture.answers).singleElement().matches(a -> a.kind() == Kind.NOT_READY);
+    }
+
+    /** Guards the 3 s in which a leaving endpoint stops getting work, and the planned switch. */
+    @Test
+    void aLeavingPrimaryIsSwitchedAndShownAsLeaving() {
+        fixture.run(3_000);
+        ModelEndpoint old = fixture.primary();
+        old.leaving = true;
+        fixture.run(1_500);
+        assertThat(fixture.primary()).isNotSameAs(old);
+        assertThat(fixture.group().reason()).isEqualTo("primary " + old.name + " is leaving");
+        assertThat(fixture.proxies.values())
+                .allMatch(p -> p.groups.get("fleet").endpoint(old.name).get().leaving());
+        fixture.run(5_000);
+        assertThat(fixture.group().term()).isEqualTo(2);
+    }
+
+    /** Unchanged groups cost nothing: a node has 2 KB/s for control. */
+    @Test
+    void groupsAreSentOnlyWhenChanged() {
+        fixture.run(6_000);
+        fixture.updates.clear();
+        fixture.run(1_000);
+        assertThat(fixture.updates).hasSize(28).allMatch(u -> u.groups().isEmpty());
+        fixture.at("e0").leaving = true;
+        fixture.run(1_000);
+        assertThat(fixture.updates.stream().filter(u -> !u.groups().isEmpty()).count())
+                .isBetween(7L, 14L);
+    }
+
+    @Test
+    void deadlineIsFarWhileThereIsNothingToDo() {
+        fixture.feed(new ControlEvent.LostLeadership());
+        assertThat(fixture.core.nextDeadline()).isEqualTo(Long.MAX_VALUE);
+        fixture.run(1_000);
+        assertThat(fixture.log).isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/coordination/control/ControlFixture.java
@@ -0,0 +1,254 @@
+package org.ragwortmoor.coordination.control;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import org.ragwortmoor.coordination.control.ControlAction.AnswerOperator;
+import org.ragwortmoor.coordination.control.ControlAction.AnswerProxy;
+import org.ragwortmoor.coordination.control.ControlAction.CallEndpoint;
+import org.ragwortmoor.coordination.control.ControlAction.Propose;
+
+/** A control leader with model endpoints and proxies in virtual time. */
+final class ControlFixture {
+    static final long MS = 1_000_000L;
+
+    /** Lines "scope GROUP PREFIX" declare scopes; a line "error" is wrong. */
+    static final RuleFileChecker CHECKER =
+            text -> {
+                Set<RuleScope> scopes = new TreeSet<>();
+                for (String line : text.split("\n")) {
+                    String[] words = line.split(" ");
+                    if (words[0].equals("error")) {
+                        return Either.left(List.of("line is wrong"));
+                    }
+                    if (words[0].equals("scope")) {
+                        scopes.add(new RuleScope(words[1], words[2]));
+                    }
+                }
+                return Either.right(new RuleFileSummary(scopes));
+            };
+
+    final Map<EndpointKey, ModelEndpoint> endpoints = new LinkedHashMap<>();
+    final Map<String, ModelProxy> proxies = new LinkedHashMap<>();
+    final List<ControlCommand> log = new ArrayList<>();
+    final List<OperatorAnswer> answers = new ArrayList<>();
+    final List<ControlUpdate> updates = new ArrayList<>();
+    final Random random;
+    long now;
+    long networkDelay = 1 * MS;
+    long commitDelay = 2 * MS;
+    long leaderTerm;
+    ControlState state = ControlState.EMPTY;
+    ControlCore core;
+
+    /** Returns whether an endpoint (first) can be reached from a proxy or {@code "control"}. */
+    BiPredicate<EndpointKey, String> link = (endpoint, from) -> true;
+
+    private final ControlCore.SuspicionChoice suspicion;
+    private final ShareRule shareRule;
+    private final PriorityQueue<Event> queue =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private long order;
+    private long tickAt = Long.MAX_VALUE;
+
+    private record Event(long at, long order, Runnable run) {}
+
+    ControlFixture(long seed) {
+        this(seed, ControlCore.SuspicionChoice.REPORTERS, new FairShares());
+    }
+
+    ControlFixture(long seed, ControlCore.SuspicionChoice suspicion, ShareRule shareRule) {
+        this.random = new Random(seed);
+        this.suspicion = suspicion;
+        this.shareRule = shareRule;
+        newLeader();
+    }
+
+    /** Replaces the leader: what was in its memory and its uncommitted proposals are lost. */
+    void newLeader() {
+        leaderTerm++;
+        core = new ControlCore("Colina", state, CHECKER, shareRule, suspicion, now);
+        feed(new ControlEvent.BecameLeader(leaderTerm));
+        feed(new ControlEvent.ReadyChanged(true));
+    }
+
+    ModelEndpoint endpoint(String group, String name, String domain) {
+        ModelEndpoint endpoint = new ModelEndpoint(group, name, domain);
+        endpoints.put(endpoint.key(), endpoint);
+        every(500 * MS, random.nextInt(500) * MS, () -> announce(endpoint));
+        every(10 * MS, random.nextInt(10) * MS, () -> replicate(endpoint));
+        return endpoint;
+    }
+
+    ModelProxy proxy(String name, String domain) {
+        ModelProxy proxy = new ModelProxy(name, domain);
+        proxies.put(name, proxy);
+        every(250 * MS, random.nextInt(250) * MS, () -> report(proxy));
+        every(50 * MS, random.nextInt(50) * MS, () -> ping(proxy));
+        return proxy;
+    }
+
+    /** Three failure domains with an endpoint of the group and {@code proxies} proxies in all. */
+    ControlFixture standard(int proxyCount) {
+        String[] domains = {"Colina", "Pirque", "Lampa"};
+        for (int i = 0; i < 3; i++) {
+            endpoint("fleet", "e" + i, domains[i]);
+        }
+        for (int i = 0; i < proxyCount; i++) {
+            proxy("p" + i, domains[i % 3]);
+        }
+        return this;
+    }
+
+    ModelEndpoint at(String name) {
+        return endpoints.get(new EndpointKey("fleet", name));
+    }
+
+    ModelEndpoint primary() {
+        return at(group().primary().get());
+    }
+
+    GroupState group() {
+        return state.groups().get("fleet").get();
+    }
+
+    void operator(OperatorRequest request) {
+        feed(new ControlEvent.OperatorRequested(request));
+    }
+
+    OperatorRequest.Operation operation(String id) {
+        return new OperatorRequest.Operation(id, "ana", now / MS);
+    }
+
+    void run(long millis) {
+        long end = now + millis * MS;
+        while (true) {
+            Event next = queue.peek();
+            long at = Math.min(next == null ? Long.MAX_VALUE : next.at(), tickAt);
+            if (at > end) {
+                now = end;
+                return;
+            }
+            now = Math.max(now, at);
+            if (at == tickAt) {
+                tickAt = Long.MAX_VALUE;
+                feed(new ControlEvent.Tick(now / MS));
+            } else {
+                queue.poll().run().run();
+            }
+        }
+    }
+
+    void at(long delay, Runnable run) {
+        order++;
+        queue.add(new Event(now + delay, order, run));
+    }
+
+    void every(long interval, long first, Runnable run) {
+        at(
+                first,
+                () -> {
+                    run.run();
+                    every(interval, interval, run);
+                });
+    }
+
+    void feed(ControlEvent event) {
+        for (ControlAction action : core.handle(event, now)) {
+            carryOut(action);
+        }
+        tickAt = Math.max(now, core.nextDeadline());
+    }
+
+    private void carryOut(ControlAction action) {
+        long term = leaderTerm;
+        if (action instanceof Propose propose) {
+            at(
+                    commitDelay,
+                    () -> {
+                        if (term == leaderTerm) {
+                            commit(propose.command());
+                        }
+                    });
+        } else if (action instanceof CallEndpoint call) {
+            at(networkDelay, () -> called(call, term));
+        } else if (action instanceof AnswerProxy answer) {
+            updates.add(answer.update());
+            ModelProxy proxy = proxies.get(answer.update().proxy());
+            if (proxy != null) {
+                at(networkDelay, () -> deliver(proxy, answer.update()));
+            }
+        } else if (action instanceof AnswerOperator answer) {
+            answers.add(answer.answer());
+        }
+    }
+
+    private static void deliver(ModelProxy proxy, ControlUpdate update) {
+        if (!proxy.cutOff) {
+            proxy.apply(update);
+        }
+    }
+
+    void commit(ControlCommand command) {
+        log.add(command);
+        var applied = state.apply(command);
+        state = applied._1;
+        feed(new ControlEvent.CommandCommitted(command, applied._2, state));
+    }
+
+    private void called(CallEndpoint call, long term) {
+        ModelEndpoint endpoint = endpoints.get(new EndpointKey(call.group(), call.endpoint()));
+        boolean reached = endpoint.alive && link.test(endpoint.key(), "control");
+        ControlEvent event =
+                reached
+                        ? new ControlEvent.EndpointAnswered(
+                                call.call(), endpoint.answer(call.request()))
+                        : new ControlEvent.EndpointFailed(call.call(), "no connection");
+        at(
+                networkDelay,
+                () -> {
+                    if (term == leaderTerm) {
+                        feed(event);
+                    }
+                });
+    }
+
+    private void announce(ModelEndpoint endpoint) {
+        if (endpoint.alive && link.test(endpoint.key(), "control")) {
+            Announcement announcement = endpoint.announcement(3);
+            at(networkDelay, () -> feed(new ControlEvent.AnnouncementReceived(announcement)));
+        }
+    }
+
+    private void replicate(ModelEndpoint endpoint) {
+        for (ModelEndpoint other : endpoints.values()) {
+            if (other.group.equals(endpoint.group) && endpoint.alive && other.alive) {
+                endpoint.fetch(other, 100);
+            }
+        }
+    }
+
+    private void report(ModelProxy proxy) {
+        if (proxy.alive && !proxy.frozen && !proxy.cutOff) {
+            ProxyReport report = proxy.report(now);
+            at(networkDelay, () -> feed(new ControlEvent.ReportReceived(report)));
+        }
+    }
+
+    private void ping(ModelProxy proxy) {
+        for (ModelEndpoint endpoint : endpoints.values()) {
+            if (endpoint.alive && link.test(endpoint.key(), proxy.name)) {
+                proxy.heard(endpoint.key(), now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/coordination/control/ModelProxy.java
@@ -0,0 +1,106 @@
+package org.ragwortmoor.coordination.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ragwortmoor.coordination.control.ProxyReport.EndpointObservation;
+import org.ragwortmoor.state.EndpointInfo;
+import org.ragwortmoor.state.GroupView;
+
+/** A proxy that pings endpoints, reports, and applies updates. */
+final class ModelProxy {
+    final String name;
+    final String domain;
+    final Map<String, GroupView> groups = new TreeMap<>();
+    final Map<EndpointKey, Long> lastAnswer = new HashMap<>();
+    final Map<EndpointKey, Integer> wanted = new HashMap<>();
+    final Map<EndpointKey, Integer> held = new HashMap<>();
+    ProxyShares shares = new ProxyShares();
+    long incarnation = 1;
+    long sequence;
+    long rulesVersion;
+    long preparedVersion;
+    long rulesUntil = Long.MIN_VALUE;
+    String rules = "";
+    boolean alive = true;
+    boolean frozen;
+    boolean cutOff;
+    boolean stopping;
+
+    ModelProxy(String name, String domain) {
+        this.name = name;
+        this.domain = domain;
+    }
+
+    /** Answers of an endpoint in the same group arrive as long as both sides work. */
+    void heard(EndpointKey key, long now) {
+        if (alive && !frozen) {
+            lastAnswer.put(key, now);
+        }
+    }
+
+    ProxyReport report(long now) {
+        sequence++;
+        List<EndpointObservation> seen = new ArrayList<>();
+        for (GroupView view : groups.values()) {
+            for (EndpointInfo info : view.endpoints()) {
+                EndpointKey key = new EndpointKey(view.group(), info.endpoint());
+                long since = lastAnswer.computeIfAbsent(key, k -> now);
+                int share = shares.connections(key, now);
+                held.put(key, share);
+                seen.add(
+                        new EndpointObservation(
+                                view.group(),
+                                info.endpoint(),
+                                (now - since) / 1_000_000,
+                                share,
+                                wanted.getOrDefault(key, 1),
+                                0,
+                                0,
+                                0));
+            }
+        }
+        return new ProxyReport(
+                name,
+                incarnation,
+                domain,
+                sequence,
+                rulesVersion,
+                preparedVersion,
+                stopping,
+                now,
+                seen,
+                shares.acknowledged());
+    }
+
+    void apply(ControlUpdate update) {
+        if (!alive || frozen || !shares.apply(update)) {
+            return;
+        }
+        update.groups().forEach(g -> groups.put(g.group(), g));
+        rulesUntil = update.reportSentAt() + update.rulesLeaseMillis() * 1_000_000;
+        update.rules()
+                .filter(r -> r.version() > rulesVersion)
+                .forEach(
+                        r -> {
+                            rulesVersion = r.version();
+                            rules = r.text();
+                        });
+        update.pending().forEach(p -> preparedVersion = Math.max(preparedVersion, p.version()));
+    }
+
+    void restart() {
+        incarnation++;
+        sequence = 0;
+        shares = new ProxyShares();
+        groups.clear();
+        lastAnswer.clear();
+        held.clear();
+        rulesVersion = 0;
+        preparedVersion = 0;
+        rulesUntil = Long.MIN_VALUE;
+        alive = true;
+    }
+}
