--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ReplicatedLog.java
@@ -0,0 +1,185 @@
+package org.ragwortmoor.coordination.consensus;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.ragwortmoor.state.Position;
+import org.ragwortmoor.state.log.DurableLog;
+import org.ragwortmoor.state.log.LogSettings;
+import org.ragwortmoor.state.log.MemberId;
+import org.ragwortmoor.state.log.Storage;
+import org.ragwortmoor.state.log.StorageError;
+
+/**
+ * A replicated log on a data folder, for a daemon that moves the messages.
+ *
+ * <p>All methods run on the caller's thread and only one at a time. Writes are durable when a
+ * method returns, so the returned messages can be sent at any later time and in any order.
+ */
+public final class ReplicatedLog implements AutoCloseable {
+    private final DurableLog log;
+    private final ConsensusNode node;
+    private final ConsensusStorageDriver driver;
+    private final List<String> notices;
+
+    private ReplicatedLog(
+            DurableLog log,
+            ConsensusNode node,
+            ConsensusStorageDriver driver,
+            List<String> notices) {
+        this.log = log;
+        this.node = node;
+        this.driver = driver;
+        this.notices = notices;
+    }
+
+    /**
+     * An appended proposal. It is committed when the state machine gets an entry at this position,
+     * and was replaced when it gets one of another term at this index.
+     *
+     * @param actions what the daemon has to do, as from {@link #handle}
+     */
+    public record Proposed(Position position, List<ConsensusAction> actions) {}
+
+    /**
+     * Opens the data folder and restores the state machine from the snapshot.
+     *
+     * @param storage the data folder
+     * @param nodeId node id from the settings
+     * @param incarnations source of random incarnations for an empty folder; not the seeded one
+     * @param machine state machine without state
+     * @param random seeded source of election deadlines
+     * @param now current time in nanoseconds of the process's monotonic clock
+     * @return the log, or an error that names the file, the offset and the remedy
+     */
+    public static Either<StorageError, ReplicatedLog> open(
+            Storage storage,
+            String nodeId,
+            LongSupplier incarnations,
+            LogSettings logSettings,
+            ConsensusSettings settings,
+            StateMachine machine,
+            RandomGenerator random,
+            long now) {
+        return DurableLog.open(storage, nodeId, incarnations, logSettings)
+                .map(
+                        opened -> {
+                            ConsensusStorageDriver driver =
+                                    new ConsensusStorageDriver(opened.log(), machine);
+                            opened.recovered().snapshot().forEach(driver::restore);
+                            ConsensusNode node =
+                                    new ConsensusNode(opened.recovered(), settings, random, now);
+                            return new ReplicatedLog(
+                                    opened.log(), node, driver, opened.recovered().notices());
+                        });
+    }
+
+    /**
+     * Handles an event and everything that follows from it.
+     *
+     * @return actions of the types {@code Send}, {@code BecameLeader}, {@code LostLeadership},
+     *     {@code Accepted} and {@code Refused}
+     */
+    public List<ConsensusAction> handle(ConsensusEvent event, long now) {
+        return handleAll(List.of(event), now);
+    }
+
+    /** Handles several events with one sync of the log, which makes commands cheaper. */
+    public List<ConsensusAction> handleAll(List<ConsensusEvent> events, long now) {
+        List<ConsensusEvent> pending = events;
+        while (!pending.isEmpty()) {
+            for (ConsensusEvent event : pending) {
+                driver.execute(node.handle(event, now));
+            }
+            pending = driver.flush();
+        }
+        return driver.takeOutputs();
+    }
+
+    /**
+     * Proposes a command.
+     *
+     * @return the position, or the reason why the command was not appended and never will be
+     */
+    public Either<Refusal, Proposed> propose(byte[] command, long now) {
+        return submit(new ConsensusEvent.Propose(0, ByteString.copyFrom(command)), now);
+    }
+
+    /**
+     * Proposes a membership change.
+     *
+     * @return the position, or the reason why the change was not appended and never will be
+     */
+    public Either<Refusal, Proposed> change(MembershipChange change, long now) {
+        return submit(new ConsensusEvent.ChangeMembership(0, change), now);
+    }
+
+    /** Returns the time at which the next {@link ConsensusEvent.Tick} is due. */
+    public long nextDeadline() {
+        return node.nextDeadline();
+    }
+
+    /** Returns whether this node may answer from its state at {@code now}. */
+    public boolean leaderReady(long now) {
+        return node.leaderReady(now);
+    }
+
+    /** Returns the deterministic node, for reading its state. */
+    public ConsensusNode node() {
+        return node;
+    }
+
+    /** Returns the leader as far as this node knows. */
+    public Option<MemberId> leader() {
+        return node.leader();
+    }
+
+    /** Returns what this node knows of the group. */
+    public ClusterStatus status(long now) {
+        return node.status(now);
+    }
+
+    /** Returns the error after which this node takes no further part, if any. */
+    public Option<StorageError> failure() {
+        return driver.failure();
+    }
+
+    /** Returns the repairs that were made at the start, for the log of the process. */
+    public List<String> notices() {
+        return notices;
+    }
+
+    /** Returns the state as text lines. */
+    public String dump(long now) {
+        String failed = driver.failure().map(e -> "failed " + e.message() + '\n').getOrElse("");
+        return node.dump(now) + failed;
+    }
+
+    @Override
+    public void close() {
+        log.close();
+    }
+
+    private Either<Refusal, Proposed> submit(ConsensusEvent event, long now) {
+        List<ConsensusAction> rest = new ArrayList<>();
+        Option<Position> position = Option.none();
+        Option<Refusal> refusal = Option.none();
+        for (ConsensusAction action : handle(event, now)) {
+            if (action instanceof ConsensusAction.Accepted accepted) {
+                position = Option.some(accepted.position());
+            } else if (action instanceof ConsensusAction.Refused refused) {
+                refusal = Option.some(refused.refusal());
+            } else {
+                rest.add(action);
+            }
+        }
+        if (refusal.isDefined()) {
+            return Either.left(refusal.get());
+        }
+        return Either.right(new Proposed(position.get(), rest));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between processes and their conversion to and from protobuf. */
+package org.ragwortmoor.protocol;
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/log/RecordCodec.java
@@ -0,0 +1,95 @@
+package org.ragwortmoor.state.log;
+
+import com.google.protobuf.ByteString;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+
+/**
+ * Frames a record as length, CRC32C and payload, both numbers as 4 bytes in big-endian order.
+ *
+ * <p>The checksum covers the length too: otherwise a run of zero bytes, as a file system leaves
+ * after a crash, would be a valid empty record.
+ */
+final class RecordCodec {
+    static final int HEADER_BYTES = 8;
+    private static final int LENGTH_BYTES = 4;
+
+    private RecordCodec() {}
+
+    /**
+     * A record found in a file.
+     *
+     * @param offset byte offset of the length
+     */
+    record Found(int offset, ByteString payload) {
+        int end() {
+            return offset + HEADER_BYTES + payload.size();
+        }
+    }
+
+    /**
+     * The records of a file up to the first damage.
+     *
+     * @param validEnd offset behind the last record
+     * @param damaged whether bytes follow the last record
+     * @param validBehind whether a valid record stands anywhere behind the damage
+     */
+    record Scan(List<Found> records, int validEnd, boolean damaged, boolean validBehind) {}
+
+    /** Returns the framed record. */
+    static byte[] frame(ByteString payload) {
+        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.size());
+        buffer.putInt(payload.size()).putInt(0);
+        payload.copyTo(buffer);
+        buffer.putInt(LENGTH_BYTES, checksum(buffer.array(), 0, payload.size()));
+        return buffer.array();
+    }
+
+    /** Reads records until the end of the file or the first damage. */
+    static Scan scan(byte[] file) {
+        List<Found> records = new ArrayList<>();
+        int offset = 0;
+        while (offset < file.length) {
+            int length = validLengthAt(file, offset);
+            if (length < 0) {
+                return new Scan(records, offset, true, hasValidRecordFrom(file, offset + 1));
+            }
+            ByteString payload = ByteString.copyFrom(file, offset + HEADER_BYTES, length);
+            records.add(new Found(offset, payload));
+            offset += HEADER_BYTES + length;
+        }
+        return new Scan(records, offset, false, false);
+    }
+
+    /** A damaged length hides where the next record starts, so every offset is tried. */
+    private static boolean hasValidRecordFrom(byte[] file, int start) {
+        for (int offset = start; offset + HEADER_BYTES <= file.length; offset++) {
+            if (validLengthAt(file, offset) >= 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static int validLengthAt(byte[] file, int offset) {
+        int room = file.length - offset - HEADER_BYTES;
+        if (room < 0) {
+            return -1;
+        }
+        ByteBuffer header = ByteBuffer.wrap(file, offset, HEADER_BYTES);
+        int length = header.getInt();
+        if (length < 0 || length > room) {
+            return -1;
+        }
+        return checksum(file, offset, length) == header.getInt() ? length : -1;
+    }
+
+    private static int checksum(byte[] file, int offset, int length) {
+        CRC32C crc = new CRC32C();
+        crc.update(file, offset, LENGTH_BYTES);
+        crc.update(file, offset + HEADER_BYTES, length);
+        return (int) crc.getValue();
+    }
+}
