--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
@@ -0,0 +1,147 @@
+package org.ragwortmoor.daemon;
+
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import org.ragwortmoor.coordination.activation.RulesGate;
+import org.ragwortmoor.coordination.activation.UpdateResult;
+import org.ragwortmoor.coordination.control.ControlUpdate;
+import org.ragwortmoor.coordination.control.ControlUpdate.RulesText;
+import org.ragwortmoor.protocol.PeerBody;
+import org.ragwortmoor.protocol.PeerEnvelope;
+import org.ragwortmoor.transport.PeerClient;
+import org.ragwortmoor.transport.PeerListener;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sends a proxy's reports to all control processes and takes the leader's updates. */
+final class ControlLink implements PeerListener, AutoCloseable {
+    /** Short against the leases of 2 s and 3 s, so that several reports may be lost. */
+    static final long REPORT_MILLIS = 250;
+
+    private static final Logger LOG = LoggerFactory.getLogger(ControlLink.class);
+
+    private final List<String> controls;
+    private final ReportBuilder reports;
+    private final AccessControl access;
+    private final GroupDirectory groups;
+    private final SessionService sessions;
+    private final BooleanSupplier stopping;
+    private final LongSupplier clock;
+    private final AtomicLong updates = new AtomicLong();
+    private PeerClient peers;
+    private ScheduledFuture<?> schedule;
+
+    ControlLink(
+            List<String> controls,
+            ReportBuilder reports,
+            AccessControl access,
+            GroupDirectory groups,
+            SessionService sessions,
+            BooleanSupplier stopping,
+            LongSupplier clock) {
+        this.controls = List.copyOf(controls);
+        this.reports = reports;
+        this.access = access;
+        this.groups = groups;
+        this.sessions = sessions;
+        this.stopping = stopping;
+        this.clock = clock;
+    }
+
+    /** Starts to report. */
+    void start(PeerClient client, ScheduledExecutorService timer) {
+        peers = client;
+        schedule =
+                timer.scheduleAtFixedRate(
+                        Workers.guarded(this::report),
+                        0,
+                        REPORT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the number of accepted updates. */
+    long updates() {
+        return updates.get();
+    }
+
+    private void report() {
+        PeerBody.Report report =
+                new PeerBody.Report(
+                        reports.next(
+                                groups.hosts().stream().map(GroupHost::dump).toList(),
+                                Math.max(0, access.appliedVersion()),
+                                access.preparedVersion(),
+                                stopping.getAsBoolean(),
+                                clock.getAsLong()));
+        controls.forEach(control -> peers.send(control, report));
+    }
+
+    @Override
+    public void received(PeerEnvelope message, Reply reply) {
+        if (message.body() instanceof PeerBody.Update update) {
+            accept(update.update());
+        }
+    }
+
+    private void accept(ControlUpdate received) {
+        long before = access.activeVersion();
+        ControlUpdate update = withInitialRules(received, before);
+        UpdateResult result = access.accept(update);
+        switch (result.kind()) {
+            case STALE -> {
+                return;
+            }
+            case REFUSED -> {
+                LOG.error("update of the control leader refused: {}", result.message());
+                return;
+            }
+            default -> {
+                updates.incrementAndGet();
+                sessions.replaceKeys(update.tokenKeys());
+                groups.accept(update);
+            }
+        }
+        long after = access.activeVersion();
+        if (after != before) {
+            LOG.info("rules version {} is active, before {}", after, before);
+        }
+    }
+
+    /**
+     * Adds the empty version 0 if the leader has no rules: this update answers a report of version 0,
+     * so a leader with rules would have sent them.
+     */
+    private static ControlUpdate withInitialRules(ControlUpdate update, long active) {
+        if (active != RulesGate.NO_VERSION || update.rules().isDefined()) {
+            return update;
+        }
+        return new ControlUpdate(
+                update.proxy(),
+                update.leaderTerm(),
+                update.reportSequence(),
+                update.reportSentAt(),
+                update.rulesLeaseMillis(),
+                update.shareLeaseMillis(),
+                Option.of(new RulesText(0, "")),
+                update.pending(),
+                update.groups(),
+                update.shares(),
+                update.tokenKeys());
+    }
+
+    @Override
+    public void close() {
+        if (schedule != null) {
+            schedule.cancel(false);
+        }
+        if (peers != null) {
+            peers.close();
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
@@ -0,0 +1,257 @@
+package org.ragwortmoor.daemon;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.ragwortmoor.coordination.consensus.ConsensusAction;
+import org.ragwortmoor.coordination.consensus.ConsensusEvent;
+import org.ragwortmoor.coordination.consensus.ConsensusMessage;
+import org.ragwortmoor.coordination.consensus.Refusal;
+import org.ragwortmoor.coordination.consensus.ReplicatedLog;
+import org.ragwortmoor.coordination.control.ControlAction;
+import org.ragwortmoor.coordination.control.ControlCommand;
+import org.ragwortmoor.coordination.control.ControlEvent;
+import org.ragwortmoor.coordination.control.ControlStateCodec;
+import org.ragwortmoor.coordination.control.OperatorAnswer;
+import org.ragwortmoor.coordination.control.OperatorRequest;
+import org.ragwortmoor.coordination.control.TokenKey;
+import org.ragwortmoor.protocol.ConsensusCodec;
+import org.ragwortmoor.protocol.PeerBody;
+import org.ragwortmoor.protocol.PeerEnvelope;
+import org.ragwortmoor.state.log.Member;
+import org.ragwortmoor.state.log.MemberId;
+import org.ragwortmoor.transport.PeerListener;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the replicated log and the decisions of a control process on one thread.
+ *
+ * <p>One thread is enough: a command costs a sync of the log, a report a few microseconds. It makes
+ * the order of events the order of decisions, without locks.
+ */
+final class ControlLoop implements PeerListener {
+    /** Short against the heartbeat of 100 ms and the scan of 50 ms. */
+    private static final long TICK_MILLIS = 10;
+
+    private static final int TOKEN_KEY_BYTES = 32;
+
+    private static final Logger LOG = LoggerFactory.getLogger(ControlLoop.class);
+
+    private final ScheduledThreadPoolExecutor thread;
+    private final ReplicatedLog log;
+    private final ControlMachine machine;
+    private final Map<String, String> initialMembers;
+    private final Map<String, PeerListener.Reply> proxies = new HashMap<>();
+    private final Map<String, Consumer<OperatorAnswer>> operators = new HashMap<>();
+    private PeerSender peers;
+    private EndpointCaller endpoints;
+    private boolean leader;
+    private boolean ready;
+    private boolean keyProposed;
+
+    /** Sends messages to other control processes. */
+    interface PeerSender {
+        /** Sends a message to a process at an address; it may be lost. */
+        void send(String address, PeerBody body);
+    }
+
+    ControlLoop(
+            ScheduledThreadPoolExecutor thread,
+            ReplicatedLog log,
+            ControlMachine machine,
+            Map<String, String> initialMembers) {
+        this.thread = thread;
+        this.log = log;
+        this.machine = machine;
+        this.initialMembers = initialMembers;
+    }
+
+    /** Starts to handle events. */
+    void start(PeerSender sender, EndpointCaller caller) {
+        peers = sender;
+        endpoints = caller;
+        thread.scheduleAtFixedRate(
+                Workers.guarded(this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs a task on the loop and carries out what follows from it. */
+    void run(Runnable task) {
+        thread.execute(
+                Workers.guarded(
+                        () -> {
+                            checkReady();
+                            task.run();
+                            drain();
+                        }));
+    }
+
+    /** Returns the replicated log; to be used on the loop only. */
+    ReplicatedLog log() {
+        return log;
+    }
+
+    /** Returns the state and decisions; to be used on the loop only. */
+    ControlMachine machine() {
+        return machine;
+    }
+
+    /** Returns whether this process leads and may answer. */
+    boolean ready() {
+        return ready;
+    }
+
+    @Override
+    public void received(PeerEnvelope message, Reply reply) {
+        PeerBody body = message.body();
+        if (body instanceof PeerBody.Report report) {
+            run(
+                    () -> {
+                        proxies.put(report.report().proxy(), reply);
+                        machine.handle(new ControlEvent.ReportReceived(report.report()));
+                    });
+        } else if (body instanceof PeerBody.Announced announced) {
+            run(
+                    () ->
+                            machine.handle(
+                                    new ControlEvent.AnnouncementReceived(
+                                            announced.announcement())));
+        } else if (body instanceof PeerBody.Consensus consensus) {
+            ConsensusCodec.decode(consensus.message().toByteArray())
+                    .peek(m -> run(() -> consensus(new ConsensusEvent.Received(m))))
+                    .peekLeft(e -> LOG.warn("message of {} ignored: {}", message.sender(), e));
+        }
+    }
+
+    /** Hands an operator's request to the decisions; the answer follows. */
+    void request(OperatorRequest request, Consumer<OperatorAnswer> answer) {
+        run(
+                () -> {
+                    operators.put(request.operation().id(), answer);
+                    machine.handle(new ControlEvent.OperatorRequested(request));
+                });
+    }
+
+    /** Hands an event that concerns endpoints to the decisions; to be used on the loop only. */
+    void endpointEvent(ControlEvent event) {
+        checkReady();
+        machine.handle(event);
+        drain();
+    }
+
+    private void tick() {
+        checkReady();
+        consensus(new ConsensusEvent.Tick());
+        endpoints.expire(System.nanoTime());
+        machine.handle(new ControlEvent.Tick(System.currentTimeMillis()));
+        ensureTokenKey();
+        drain();
+    }
+
+    /** A frozen process must notice that its lease ended before it handles what has queued up. */
+    private void checkReady() {
+        boolean now = log.leaderReady(System.nanoTime());
+        if (now != ready) {
+            ready = now;
+            LOG.info(now ? "this process leads and answers" : "this process no longer answers");
+            machine.handle(new ControlEvent.ReadyChanged(now));
+        }
+    }
+
+    private void drain() {
+        checkReady();
+        ControlAction action = machine.nextAction();
+        while (action != null) {
+            perform(action);
+            action = machine.nextAction();
+        }
+    }
+
+    private void perform(ControlAction action) {
+        if (action instanceof ControlAction.Propose propose) {
+            propose(propose.command());
+        } else if (action instanceof ControlAction.CallEndpoint call) {
+            endpoints.call(call, System.nanoTime());
+        } else if (action instanceof ControlAction.AnswerProxy answer) {
+            PeerListener.Reply reply = proxies.get(answer.update().proxy());
+            if (reply != null) {
+                reply.send(new PeerBody.Update(answer.update()));
+            }
+        } else if (action instanceof ControlAction.AnswerOperator answer) {
+            Consumer<OperatorAnswer> operator =
+                    operators.remove(answer.answer().operationId());
+            if (operator != null) {
+                operator.accept(answer.answer());
+            }
+        }
+    }
+
+    private void propose(ControlCommand command) {
+        Either<Refusal, ReplicatedLog.Proposed> proposed =
+                log.propose(ControlStateCodec.encodeCommand(command), System.nanoTime());
+        proposed.peek(p -> p.actions().forEach(this::perform));
+        proposed.peekLeft(
+                refusal -> LOG.warn("{} not proposed: {}", name(command), refusal.message()));
+    }
+
+    private static String name(ControlCommand command) {
+        return command.getClass().getSimpleName();
+    }
+
+    private void consensus(ConsensusEvent event) {
+        List<ConsensusAction> actions = log.handle(event, System.nanoTime());
+        actions.forEach(this::perform);
+    }
+
+    /** Carries out what the replicated log asks for; to be used on the loop only. */
+    void perform(ConsensusAction action) {
+        if (action instanceof ConsensusAction.Send send) {
+            send(send.message());
+        } else if (action instanceof ConsensusAction.BecameLeader became) {
+            leader = true;
+            LOG.info("elected leader of term {}", became.term());
+            machine.handle(new ControlEvent.BecameLeader(became.term()));
+        } else if (action instanceof ConsensusAction.LostLeadership lost) {
+            leader = false;
+            keyProposed = false;
+            LOG.info("no longer leader of term {}: {}", lost.term(), lost.reason());
+            machine.handle(new ControlEvent.LostLeadership());
+        }
+    }
+
+    private void send(ConsensusMessage message) {
+        String address = address(message.to());
+        if (address != null) {
+            byte[] bytes = ConsensusCodec.encode(message).toByteArray();
+            peers.send(address, new PeerBody.Consensus(ByteString.copyFrom(bytes)));
+        }
+    }
+
+    private String address(MemberId to) {
+        List<Member> members =
+                new ArrayList<>(
+                        log.status(System.nanoTime()).configuration().membersOf(to.node()));
+        return members.isEmpty() ? initialMembers.get(to.node()) : members.get(0).address();
+    }
+
+    /** The first leader creates the key that signs session tokens. */
+    private void ensureTokenKey() {
+        if (!leader || !ready || keyProposed || !machine.state().tokenKeys().isEmpty()) {
+            return;
+        }
+        keyProposed = true;
+        byte[] secret = new byte[TOKEN_KEY_BYTES];
+        new SecureRandom().nextBytes(secret);
+        TokenKey key = new TokenKey(1, Base64.getEncoder().encodeToString(secret));
+        long wall = System.currentTimeMillis();
+        propose(new ControlCommand.AddTokenKey("first-token-key", key, "control", wall));
+    }
+}
