--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/transport/Channels.java
@@ -0,0 +1,97 @@
+package org.ragwortmoor.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.vavr.control.Option;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.ragwortmoor.protocol.FrameLimits;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Channels that carry length-prefixed frames. */
+final class Channels {
+    private static final Logger LOG = LoggerFactory.getLogger(Channels.class);
+    private static final long CLOSE_SECONDS = 5;
+
+    private Channels() {}
+
+    static EventLoopGroup loops(TransportSettings settings) {
+        return new MultiThreadIoEventLoopGroup(settings.threads(), NioIoHandler.newFactory());
+    }
+
+    static ChannelInitializer<Channel> initializer(
+            FrameLimits limits, Supplier<ChannelHandler> handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new LengthFieldBasedFrameDecoder(
+                                        limits.maxBytes(),
+                                        0,
+                                        FrameLimits.LENGTH_BYTES,
+                                        0,
+                                        FrameLimits.LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(FrameLimits.LENGTH_BYTES))
+                        .addLast(handler.get());
+            }
+        };
+    }
+
+    static WriteBufferWaterMark waterMark(TransportSettings settings) {
+        return new WriteBufferWaterMark(
+                settings.writeBufferBytes() / 2, settings.writeBufferBytes());
+    }
+
+    static ChannelFuture connect(
+            EventLoopGroup loops,
+            TransportSettings settings,
+            InetSocketAddress address,
+            ChannelHandler handler) {
+        return new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark(settings))
+                .localAddress(new InetSocketAddress(settings.localHost(), 0))
+                .handler(initializer(settings.frameLimits(), () -> handler))
+                .connect(address);
+    }
+
+    /** Returns the socket address of an IP number and port, or nothing if it has no such form. */
+    static Option<InetSocketAddress> parse(String address) {
+        if (!address.matches("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}")) {
+            return Option.none();
+        }
+        int colon = address.lastIndexOf(':');
+        int port = Integer.parseInt(address.substring(colon + 1));
+        if (port > 65_535) {
+            return Option.none();
+        }
+        return Option.some(new InetSocketAddress(address.substring(0, colon), port));
+    }
+
+    /** Ends the event loops, with their channels, and waits for it. */
+    static void shutdown(EventLoopGroup loops) {
+        boolean ended =
+                loops.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS)
+                        .awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
+        if (!ended) {
+            LOG.warn("event loops did not end within {} s", CLOSE_SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/transport/TransportMetrics.java
@@ -0,0 +1,84 @@
+package org.ragwortmoor.transport;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Prometheus counters of the transports of one process.
+ *
+ * <p>The label {@code peer} is an address or process identifier of the installation's own machines,
+ * so the number of series is bounded by their number.
+ */
+public final class TransportMetrics {
+    /** Label of frames and bytes that were received. */
+    static final String IN = "in";
+
+    /** Label of frames and bytes that were sent. */
+    static final String OUT = "out";
+
+    private final Counter frames;
+    private final Counter bytes;
+    private final Counter errors;
+    private final Counter dropped;
+
+    /** Creates the counters and registers them. */
+    public TransportMetrics(PrometheusRegistry registry) {
+        this.frames =
+                Counter.builder()
+                        .name("ragwortmoor_transport_frames_total")
+                        .help("Frames by peer and direction")
+                        .labelNames("peer", "direction")
+                        .register(registry);
+        this.bytes =
+                Counter.builder()
+                        .name("ragwortmoor_transport_bytes_total")
+                        .help("Bytes of frames by peer and direction, with the length prefix")
+                        .labelNames("peer", "direction")
+                        .register(registry);
+        this.errors =
+                Counter.builder()
+                        .name("ragwortmoor_transport_errors_total")
+                        .help("Failed connections, refused frames and full buffers by peer")
+                        .labelNames("peer", "kind")
+                        .register(registry);
+        this.dropped =
+                Counter.builder()
+                        .name("ragwortmoor_transport_dropped_messages_total")
+                        .help("Messages that left a full queue unsent, by peer")
+                        .labelNames("peer")
+                        .register(registry);
+    }
+
+    void frame(String peer, String direction, int size) {
+        frames.labelValues(peer, direction).inc();
+        bytes.labelValues(peer, direction).inc(size);
+    }
+
+    void error(String peer, String kind) {
+        errors.labelValues(peer, kind).inc();
+    }
+
+    void dropped(String peer) {
+        dropped.labelValues(peer).inc();
+    }
+
+    /** Returns the number of frames from ({@code in}) or to ({@code out}) a peer. */
+    public double frames(String peer, String direction) {
+        return frames.labelValues(peer, direction).get();
+    }
+
+    /** Returns the number of bytes from ({@code in}) or to ({@code out}) a peer. */
+    public double bytes(String peer, String direction) {
+        return bytes.labelValues(peer, direction).get();
+    }
+
+    /** Returns the number of errors of a kind with a peer. */
+    public double errors(String peer, String kind) {
+        return errors.labelValues(peer, kind).get();
+    }
+
+    /** Returns the number of messages to a peer that were dropped unsent. */
+    public double droppedMessages(String peer) {
+        return dropped.labelValues(peer).get();
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Netty transports to endpoints and between processes. */
+package org.ragwortmoor.transport;
--- /dev/null
+++ b/standin/src/main/java/org/ragwortmoor/standin/Frames.java
@@ -0,0 +1,76 @@
+package org.ragwortmoor.standin;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import org.ragwortmoor.protocol.FrameLimits;
+
+/** Channels that carry length-prefixed frames. */
+final class Frames {
+    /** Two of the largest frames may wait to be written before a connection counts as stuck. */
+    private static final int LARGEST_FRAMES_WAITING = 2;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private Frames() {}
+
+    /** Returns an initializer that frames the bytes and adds a new handler. */
+    static ChannelInitializer<Channel> initializer(
+            FrameLimits limits, Supplier<ChannelHandler> handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new LengthFieldBasedFrameDecoder(
+                                        limits.maxBytes(),
+                                        0,
+                                        FrameLimits.LENGTH_BYTES,
+                                        0,
+                                        FrameLimits.LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(FrameLimits.LENGTH_BYTES))
+                        .addLast(handler.get());
+            }
+        };
+    }
+
+    static WriteBufferWaterMark waterMark(FrameLimits limits) {
+        return new WriteBufferWaterMark(
+                limits.maxBytes(), LARGEST_FRAMES_WAITING * limits.maxBytes());
+    }
+
+    /** Opens a connection from the stand-in's own IP number, by which faults can address it. */
+    static ChannelFuture connect(
+            EventLoop loop, StandinSettings settings, String address, ChannelHandler handler) {
+        int colon = address.lastIndexOf(':');
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark(settings.frameLimits()))
+                .localAddress(new InetSocketAddress(settings.host(), 0))
+                .remoteAddress(
+                        new InetSocketAddress(
+                                address.substring(0, colon),
+                                Integer.parseInt(address.substring(colon + 1))))
+                .handler(initializer(settings.frameLimits(), () -> handler))
+                .connect();
+    }
+
+    /** Returns whether an address is an IP number or host and a port. */
+    static boolean valid(String address) {
+        return address.matches("[^:\\s]+:\\d{1,5}")
+                && Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)) <= 65_535;
+    }
+}
