--- a/app/src/main/java/org/ragwortmoor/daemon/AnswerWriter.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/AnswerWriter.java
@@ -25,8 +25,7 @@
      */
     Answer write(CallerAnswer answer, SessionToken session, String group, String key) {
         if (answer instanceof CallerAnswer.NotRun notRun) {
-            return Answer.notRun(
-                    notRun.kind().name(), notRun.message(), notRun.retryAfterMillis());
+            return Answer.notRun(notRun.kind().name(), notRun.message(), notRun.retryAfterMillis());
         }
         if (answer instanceof CallerAnswer.Unknown unknown) {
             return Answer.unknown(unknown.kind().name(), unknown.message(), key);
@@ -75,8 +74,7 @@
     }
 
     /** A statement that saw nothing of the log, such as a begin, leaves the token as it was. */
-    private Either<ErrorBody, String> token(
-            Position position, SessionToken session, String group) {
+    private Either<ErrorBody, String> token(Position position, SessionToken session, String group) {
         return sessions.seen(session, group, position);
     }
 }
--- a/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
@@ -174,8 +174,7 @@
                                                 session.sessionId(),
                                                 body.transaction(),
                                                 operations.get(),
-                                                RequestFactory.serviceMicros(
-                                                        body.serviceMicros()),
+                                                RequestFactory.serviceMicros(body.serviceMicros()),
                                                 deadline));
         return admitted(
                 target.get(),
@@ -300,8 +299,7 @@
             return refused(request.getLeft());
         }
         Either<ErrorBody, AccessControl.Permit> permit =
-                access.admit(
-                        target.host.group(), operations, target.session.principal());
+                access.admit(target.host.group(), operations, target.session.principal());
         if (permit.isLeft()) {
             return refused(permit.getLeft());
         }
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
@@ -6,12 +6,14 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.ragwortmoor.coordination.activation.RulesGate;
 import org.ragwortmoor.coordination.activation.UpdateResult;
 import org.ragwortmoor.coordination.control.ControlUpdate;
 import org.ragwortmoor.coordination.control.ControlUpdate.RulesText;
+import org.ragwortmoor.coordination.control.ProxyReport;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerEnvelope;
 import org.ragwortmoor.transport.PeerClient;
@@ -34,6 +36,8 @@
     private final BooleanSupplier stopping;
     private final LongSupplier clock;
     private final AtomicLong updates = new AtomicLong();
+    private final AtomicReference<ProxyReport.Acknowledged> acknowledged =
+            new AtomicReference<>(ProxyReport.Acknowledged.NONE);
     private PeerClient peers;
     private ScheduledFuture<?> schedule;
 
@@ -59,10 +63,7 @@
         peers = client;
         schedule =
                 timer.scheduleAtFixedRate(
-                        Workers.guarded(this::report),
-                        0,
-                        REPORT_MILLIS,
-                        TimeUnit.MILLISECONDS);
+                        Workers.guarded(this::report), 0, REPORT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Returns the number of accepted updates. */
@@ -78,6 +79,7 @@
                                 Math.max(0, access.appliedVersion()),
                                 access.preparedVersion(),
                                 stopping.getAsBoolean(),
+                                acknowledged.get(),
                                 clock.getAsLong()));
         controls.forEach(control -> peers.send(control, report));
     }
@@ -105,6 +107,7 @@
                 updates.incrementAndGet();
                 sessions.replaceKeys(update.tokenKeys());
                 groups.accept(update);
+                acknowledge(update);
             }
         }
         long after = access.activeVersion();
@@ -113,9 +116,24 @@
         }
     }
 
+    /** Updates can be handled out of order by the workers; only the newest one counts. */
+    private void acknowledge(ControlUpdate update) {
+        ProxyReport.Acknowledged next =
+                new ProxyReport.Acknowledged(
+                        update.leaderTerm(), update.reportSequence(), update.groupsRevision());
+        acknowledged.accumulateAndGet(next, ControlLink::newer);
+    }
+
+    private static ProxyReport.Acknowledged newer(
+            ProxyReport.Acknowledged one, ProxyReport.Acknowledged other) {
+        int byTerm = Long.compare(one.leaderTerm(), other.leaderTerm());
+        int order = byTerm != 0 ? byTerm : Long.compare(one.sequence(), other.sequence());
+        return order >= 0 ? one : other;
+    }
+
     /**
-     * Adds the empty version 0 if the leader has no rules: this update answers a report of version 0,
-     * so a leader with rules would have sent them.
+     * Adds the empty version 0 if the leader has no rules: this update answers a report of version
+     * 0, so a leader with rules would have sent them.
      */
     private static ControlUpdate withInitialRules(ControlUpdate update, long active) {
         if (active != RulesGate.NO_VERSION || update.rules().isDefined()) {
@@ -132,7 +150,8 @@
                 update.pending(),
                 update.groups(),
                 update.shares(),
-                update.tokenKeys());
+                update.tokenKeys(),
+                update.groupsRevision());
     }
 
     @Override
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
@@ -186,8 +186,7 @@
                 reply.send(new PeerBody.Update(answer.update()));
             }
         } else if (action instanceof ControlAction.AnswerOperator answer) {
-            Consumer<OperatorAnswer> operator =
-                    operators.remove(answer.answer().operationId());
+            Consumer<OperatorAnswer> operator = operators.remove(answer.answer().operationId());
             if (operator != null) {
                 operator.accept(answer.answer());
             }
@@ -237,8 +236,7 @@
 
     private String address(MemberId to) {
         List<Member> members =
-                new ArrayList<>(
-                        log.status(System.nanoTime()).configuration().membersOf(to.node()));
+                new ArrayList<>(log.status(System.nanoTime()).configuration().membersOf(to.node()));
         return members.isEmpty() ? initialMembers.get(to.node()) : members.get(0).address();
     }
 
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlMachine.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlMachine.java
@@ -26,8 +26,7 @@
 
     ControlMachine(String failureDomain, LongSupplier clock) {
         this.clock = clock;
-        this.core =
-                new ControlCore(failureDomain, state, new RuleTextChecker(), clock.getAsLong());
+        this.core = new ControlCore(failureDomain, state, new RuleTextChecker(), clock.getAsLong());
     }
 
     /** Takes an event; what follows is in {@link #nextAction}. */
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -114,8 +114,7 @@
     }
 
     private static RandomGenerator random() {
-        return RandomGeneratorFactory.of("L64X128MixRandom")
-                .create(new SecureRandom().nextLong());
+        return RandomGeneratorFactory.of("L64X128MixRandom").create(new SecureRandom().nextLong());
     }
 
     /**
@@ -164,10 +163,7 @@
                 .callback(
                         sink ->
                                 sink.call(
-                                        onLoop(
-                                                () ->
-                                                        log.status(System.nanoTime())
-                                                                .commitIndex())))
+                                        onLoop(() -> log.status(System.nanoTime()).commitIndex())))
                 .register(registry);
     }
 
@@ -208,8 +204,7 @@
                     status.put("pendingRulesVersion", dump.pendingVersion().getOrElse(0L));
                     status.put("waitingFor", dump.waitingFor());
                     status.put("notInForceOn", dump.notInForceOn());
-                    status.put(
-                            "proxies", dump.members().stream().map(Object::toString).toList());
+                    status.put("proxies", dump.members().stream().map(Object::toString).toList());
                     status.put("freshReporters", dump.freshReporters());
                     status.put("groups", dump.groups().stream().map(ControlNode::group).toList());
                     return status;
@@ -235,11 +230,8 @@
         Map<String, Object> dump = new LinkedHashMap<>();
         dump.put("status", status());
         dump.put("config", config.toString());
-        dump.put(
-                "log", onLoop(() -> log.dump(System.nanoTime()).lines().toList()));
-        dump.put(
-                "uncounted",
-                onLoop(() -> loop.machine().core().dump().uncounted().toString()));
+        dump.put("log", onLoop(() -> log.dump(System.nanoTime()).lines().toList()));
+        dump.put("uncounted", onLoop(() -> loop.machine().core().dump().uncounted().toString()));
         return dump;
     }
 
@@ -267,8 +259,7 @@
             return;
         }
         workers.timer()
-                .schedule(
-                        () -> awaitHandover(deadline), STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
+                .schedule(() -> awaitHandover(deadline), STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private <T> T onLoop(Supplier<T> task) {
--- a/app/src/main/java/org/ragwortmoor/daemon/EndpointCaller.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/EndpointCaller.java
@@ -17,8 +17,8 @@
 import org.ragwortmoor.transport.TransportSettings;
 
 /**
- * Carries out a control process's calls to endpoints, on one administrative connection per endpoint.
- * Confined to the control loop.
+ * Carries out a control process's calls to endpoints, on one administrative connection per
+ * endpoint. Confined to the control loop.
  */
 final class EndpointCaller implements EndpointListener, AutoCloseable {
     /** A call takes a round trip; a longer silence must not delay a promotion. */
@@ -91,8 +91,7 @@
             return;
         }
         connection.opened = true;
-        connection.waiting.forEach(
-                (id, call) -> transport.send(number, id, call.action.request()));
+        connection.waiting.forEach((id, call) -> transport.send(number, id, call.action.request()));
     }
 
     @Override
@@ -112,8 +111,7 @@
     public void answered(long number, long exchange, EndpointAnswer answer) {
         Connection connection = byNumber.get(number);
         if (connection != null && connection.waiting.remove(exchange) != null) {
-            events.accept(
-                    new ControlEvent.EndpointAnswered(exchange, answer), System.nanoTime());
+            events.accept(new ControlEvent.EndpointAnswered(exchange, answer), System.nanoTime());
         }
     }
 
--- a/app/src/main/java/org/ragwortmoor/daemon/EndpointLinks.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/EndpointLinks.java
@@ -27,10 +27,7 @@
     private final String proxy;
 
     EndpointLinks(
-            TransportSettings settings,
-            Executor workers,
-            TransportMetrics metrics,
-            String proxy) {
+            TransportSettings settings, Executor workers, TransportMetrics metrics, String proxy) {
         this.transport = new EndpointTransport(settings, workers, this, metrics);
         this.proxy = proxy;
     }
@@ -74,8 +71,7 @@
         Link target = forget(link);
         if (target != null) {
             target.host.submit(
-                    new EngineEvent.ConnectionFailed(
-                            target.endpoint, target.connection, reason));
+                    new EngineEvent.ConnectionFailed(target.endpoint, target.connection, reason));
         }
     }
 
@@ -91,8 +87,7 @@
     public void answered(long link, long exchange, EndpointAnswer answer) {
         Link target = links.get(link);
         if (target != null) {
-            target.host.submit(
-                    new EngineEvent.AnswerReceived(target.connection, exchange, answer));
+            target.host.submit(new EngineEvent.AnswerReceived(target.connection, exchange, answer));
         }
     }
 
--- a/app/src/main/java/org/ragwortmoor/daemon/GroupDirectory.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/GroupDirectory.java
@@ -18,8 +18,8 @@
 import org.ragwortmoor.state.GroupView;
 
 /**
- * The groups that a proxy serves, each with its host. Safe for concurrent use; its lock is the first
- * in the lock order.
+ * The groups that a proxy serves, each with its host. Safe for concurrent use; its lock is the
+ * first in the lock order.
  */
 final class GroupDirectory implements AutoCloseable {
     private final Map<String, GroupHost> hosts = new ConcurrentSkipListMap<>();
--- a/app/src/main/java/org/ragwortmoor/daemon/GroupHost.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/GroupHost.java
@@ -16,8 +16,8 @@
 import org.ragwortmoor.coordination.engine.GroupEngine;
 
 /**
- * Runs one {@link GroupEngine}: events are handled under the group's lock, actions are carried out in
- * order after it was released.
+ * Runs one {@link GroupEngine}: events are handled under the group's lock, actions are carried out
+ * in order after it was released.
  *
  * <p>The lock is the second in the lock order (directory, group, connection). Since no action runs
  * under it, a reply or a send may start further events of any group.
--- a/app/src/main/java/org/ragwortmoor/daemon/OperatorService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/OperatorService.java
@@ -44,7 +44,8 @@
         return request(
                 body.operationId(),
                 body.operator(),
-                operation -> new OperatorRequest.Apply(operation, body.expectVersion(), body.text()),
+                operation ->
+                        new OperatorRequest.Apply(operation, body.expectVersion(), body.text()),
                 this::awaitInForce);
     }
 
@@ -54,8 +55,7 @@
                 body.operationId(),
                 body.operator(),
                 operation ->
-                        new OperatorRequest.Drain(
-                                operation, body.group(), body.endpoint(), true),
+                        new OperatorRequest.Drain(operation, body.group(), body.endpoint(), true),
                 OperatorService::completed);
     }
 
@@ -79,14 +79,10 @@
                     RulesBody body =
                             new RulesBody(
                                     rules.version(),
-                                    rules.current()
-                                            .flatMap(RuleHistory.Entry::text)
-                                            .getOrElse(""),
+                                    rules.current().flatMap(RuleHistory.Entry::text).getOrElse(""),
                                     rules.inForce() >= rules.version(),
                                     waiting,
-                                    rules.pending()
-                                            .map(RuleHistory.Entry::version)
-                                            .getOrElse(0L));
+                                    rules.pending().map(RuleHistory.Entry::version).getOrElse(0L));
                     return OperatorAnswer.done("version " + rules.version(), body);
                 });
     }
@@ -96,7 +92,11 @@
         return onLoop(
                 () -> {
                     List<HistoryLine> lines =
-                            loop.machine().state().rules().accepted().values()
+                            loop.machine()
+                                    .state()
+                                    .rules()
+                                    .accepted()
+                                    .values()
                                     .map(OperatorService::line)
                                     .toJavaList();
                     return OperatorAnswer.done(lines.size() + " versions", lines);
@@ -187,8 +187,7 @@
                             OperatorAnswer.notRun("INVALID", result.message()));
             case UNKNOWN ->
                     CompletableFuture.completedFuture(
-                            new OperatorAnswer(
-                                    "unknown", "UNKNOWN", result.message(), null, null));
+                            new OperatorAnswer("unknown", "UNKNOWN", result.message(), null, null));
             case DECIDED -> decided.apply(result);
         };
     }
--- a/app/src/main/java/org/ragwortmoor/daemon/ProxyMetrics.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ProxyMetrics.java
@@ -63,8 +63,7 @@
                                                             .forEach(
                                                                     e ->
                                                                             sink.call(
-                                                                                    e
-                                                                                            .connections(),
+                                                                                    e.connections(),
                                                                                     dump.group(),
                                                                                     e.endpoint()));
                                                 }))
--- a/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
@@ -60,13 +60,11 @@
                         pending::complete,
                         workers.timer(),
                         System::nanoTime);
-        sessions =
-                new SessionService(System::currentTimeMillis, config.sessionLifetimeMillis());
+        sessions = new SessionService(System::currentTimeMillis, config.sessionLifetimeMillis());
         control =
                 new ControlLink(
                         config.controls(),
-                        new ReportBuilder(
-                                config.name(), random.nextLong(), config.failureDomain()),
+                        new ReportBuilder(config.name(), random.nextLong(), config.failureDomain()),
                         access,
                         groups,
                         sessions,
@@ -189,8 +187,7 @@
         }
         LOG.info("planned stop: readiness is off, waiting for the balancer");
         workers.timer()
-                .schedule(
-                        this::refuseNewWork, BALANCER_NOTICE_MILLIS, TimeUnit.MILLISECONDS);
+                .schedule(this::refuseNewWork, BALANCER_NOTICE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void refuseNewWork() {
@@ -206,8 +203,7 @@
             stopped.complete(null);
             return;
         }
-        workers.timer()
-                .schedule(this::awaitStopped, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
+        workers.timer().schedule(this::awaitStopped, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/app/src/main/java/org/ragwortmoor/daemon/ReportBuilder.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ReportBuilder.java
@@ -28,6 +28,7 @@
             long appliedVersion,
             long preparedVersion,
             boolean stopping,
+            ProxyReport.Acknowledged acknowledged,
             long now) {
         List<ProxyReport.EndpointObservation> observations = new ArrayList<>();
         for (EngineDump dump : dumps) {
@@ -54,6 +55,7 @@
                 preparedVersion,
                 stopping,
                 now,
-                observations);
+                observations,
+                acknowledged);
     }
 }
--- a/app/src/main/java/org/ragwortmoor/daemon/SessionService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/SessionService.java
@@ -1,7 +1,6 @@
 package org.ragwortmoor.daemon;
 
 import io.vavr.control.Either;
-import java.util.Base64;
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicReference;
@@ -44,12 +43,7 @@
         codec.set(
                 new TokenCodec(
                         newest.stream()
-                                .map(
-                                        k ->
-                                                new SigningKey(
-                                                        k.id(),
-                                                        Base64.getDecoder()
-                                                                .decode(k.secretBase64())))
+                                .map(k -> new SigningKey(k.id(), k.secretBase64()))
                                 .toList()));
     }
 
@@ -60,9 +54,7 @@
 
     /** Opens a session for a principal. */
     Either<ErrorBody, SessionAnswer> open(String principal) {
-        if (principal == null
-                || principal.isBlank()
-                || principal.length() > MAX_PRINCIPAL_LENGTH) {
+        if (principal == null || principal.isBlank() || principal.length() > MAX_PRINCIPAL_LENGTH) {
             String message = "principal has 1 to " + MAX_PRINCIPAL_LENGTH + " characters";
             return Either.left(new ErrorBody("BAD_REQUEST", message, 0));
         }
--- a/app/src/main/java/org/ragwortmoor/http/CallerBodies.java
+++ b/app/src/main/java/org/ragwortmoor/http/CallerBodies.java
@@ -126,7 +126,8 @@
         /** Returns an answer that says that the request was not executed and never will be. */
         public static Answer notRun(String kind, String message, long retryAfterMillis) {
             ErrorBody error = new ErrorBody(kind, message, retryAfterMillis);
-            return new Answer("not-run", null, null, null, null, null, null, null, null, null, null, error);
+            return new Answer(
+                    "not-run", null, null, null, null, null, null, null, null, null, null, error);
         }
 
         /** Returns an answer that says that the outcome is unknown. */
--- a/app/src/test/java/org/ragwortmoor/http/HttpServerTest.java
+++ b/app/src/test/java/org/ragwortmoor/http/HttpServerTest.java
@@ -101,7 +101,9 @@
         public CompletionStage<Answer> read(ReadBody body) {
             List<RecordBody> records = List.of(new RecordBody(body.keys().get(0), body.group()));
             return done(
-                    new Answer("done", records, null, null, null, null, null, null, null, null, null, null));
+                    new Answer(
+                            "done", records, null, null, null, null, null, null, null, null, null,
+                            null));
         }
 
         @Override
--- a/core/src/main/java/org/ragwortmoor/coordination/activation/VersionUsage.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/activation/VersionUsage.java
@@ -8,8 +8,8 @@
  * concurrent use.
  *
  * <p>A proxy reports a version as applied only when no request admitted under an older one is in
- * flight. Otherwise a write that waits in a queue could change a partner's record after the
- * version that forbids it was reported to be in force, and the hand-back would miss the change.
+ * flight. Otherwise a write that waits in a queue could change a partner's record after the version
+ * that forbids it was reported to be in force, and the hand-back would miss the change.
  */
 public final class VersionUsage {
     private final ConcurrentSkipListMap<Long, Integer> inFlight = new ConcurrentSkipListMap<>();
--- a/core/src/main/java/org/ragwortmoor/protocol/PeerCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/PeerCodec.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.ragwortmoor.coordination.control.Announcement;
 import org.ragwortmoor.coordination.control.ProxyReport;
+import org.ragwortmoor.protocol.wire.AcknowledgedMessage;
 import org.ragwortmoor.protocol.wire.AnnouncementAckMessage;
 import org.ragwortmoor.protocol.wire.AnnouncementMessage;
 import org.ragwortmoor.protocol.wire.EndpointObservationMessage;
@@ -96,7 +97,12 @@
                         .setRulesVersion(report.rulesVersion())
                         .setPreparedVersion(report.preparedVersion())
                         .setStopping(report.stopping())
-                        .setSentAt(report.sentAt());
+                        .setSentAt(report.sentAt())
+                        .setAcknowledged(
+                                AcknowledgedMessage.newBuilder()
+                                        .setLeaderTerm(report.acknowledged().leaderTerm())
+                                        .setReportSequence(report.acknowledged().sequence())
+                                        .setGroupsRevision(report.acknowledged().groupsRevision()));
         for (ProxyReport.EndpointObservation observation : report.endpoints()) {
             builder.addEndpoints(
                     EndpointObservationMessage.newBuilder()
@@ -126,7 +132,16 @@
                 notNegative(message.getPreparedVersion(), "report.prepared_version"),
                 message.getStopping(),
                 message.getSentAt(),
-                endpoints);
+                endpoints,
+                decode(message.getAcknowledged()));
+    }
+
+    private static ProxyReport.Acknowledged decode(AcknowledgedMessage message)
+            throws MalformedException {
+        return new ProxyReport.Acknowledged(
+                notNegative(message.getLeaderTerm(), "acknowledged.leader_term"),
+                notNegative(message.getReportSequence(), "acknowledged.report_sequence"),
+                notNegative(message.getGroupsRevision(), "acknowledged.groups_revision"));
     }
 
     private static ProxyReport.EndpointObservation decode(EndpointObservationMessage message)
--- a/core/src/main/java/org/ragwortmoor/protocol/UpdateCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/UpdateCodec.java
@@ -30,7 +30,8 @@
                         .setReportSequence(update.reportSequence())
                         .setReportSentAt(update.reportSentAt())
                         .setRulesLeaseMillis(update.rulesLeaseMillis())
-                        .setShareLeaseMillis(update.shareLeaseMillis());
+                        .setShareLeaseMillis(update.shareLeaseMillis())
+                        .setGroupsRevision(update.groupsRevision());
         update.rules().forEach(rules -> builder.setRules(encode(rules)));
         update.pending().forEach(rules -> builder.setPending(encode(rules)));
         for (GroupView group : update.groups()) {
@@ -79,7 +80,8 @@
                 message.hasPending() ? Option.some(decode(message.getPending())) : Option.none(),
                 groups,
                 shares,
-                keys);
+                keys,
+                notNegative(message.getGroupsRevision(), "update.groups_revision"));
     }
 
     private static RulesTextMessage encode(ControlUpdate.RulesText rules) {
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessage.java
@@ -317,6 +317,17 @@
     return tokenKeys_.get(index);
   }
 
+  public static final int GROUPS_REVISION_FIELD_NUMBER = 12;
+  private long groupsRevision_ = 0L;
+  /**
+   * <code>uint64 groups_revision = 12;</code>
+   * @return The groupsRevision.
+   */
+  @java.lang.Override
+  public long getGroupsRevision() {
+    return groupsRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -364,6 +375,9 @@
     for (int i = 0; i < tokenKeys_.size(); i++) {
       output.writeMessage(11, tokenKeys_.get(i));
     }
+    if (groupsRevision_ != 0L) {
+      output.writeUInt64(12, groupsRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -416,6 +430,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, tokenKeys_.get(i));
     }
+    if (groupsRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(12, groupsRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -459,6 +477,8 @@
         .equals(other.getSharesList())) return false;
     if (!getTokenKeysList()
         .equals(other.getTokenKeysList())) return false;
+    if (getGroupsRevision()
+        != other.getGroupsRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -507,6 +527,9 @@
       hash = (37 * hash) + TOKEN_KEYS_FIELD_NUMBER;
       hash = (53 * hash) + getTokenKeysList().hashCode();
     }
+    hash = (37 * hash) + GROUPS_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getGroupsRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -685,6 +708,7 @@
         tokenKeysBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000400);
+      groupsRevision_ = 0L;
       return this;
     }
 
@@ -780,6 +804,9 @@
             : pendingBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.groupsRevision_ = groupsRevision_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -899,6 +926,9 @@
           }
         }
       }
+      if (other.getGroupsRevision() != 0L) {
+        setGroupsRevision(other.getGroupsRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1008,6 +1038,11 @@
               }
               break;
             } // case 90
+            case 96: {
+              groupsRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2219,6 +2254,38 @@
       return tokenKeysBuilder_;
     }
 
+    private long groupsRevision_ ;
+    /**
+     * <code>uint64 groups_revision = 12;</code>
+     * @return The groupsRevision.
+     */
+    @java.lang.Override
+    public long getGroupsRevision() {
+      return groupsRevision_;
+    }
+    /**
+     * <code>uint64 groups_revision = 12;</code>
+     * @param value The groupsRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGroupsRevision(long value) {
+
+      groupsRevision_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 groups_revision = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGroupsRevision() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      groupsRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.peer.ControlUpdateMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessageOrBuilder.java
@@ -153,4 +153,10 @@
    */
   org.ragwortmoor.protocol.wire.TokenKeyMessageOrBuilder getTokenKeysOrBuilder(
       int index);
+
+  /**
+   * <code>uint64 groups_revision = 12;</code>
+   * @return The groupsRevision.
+   */
+  long getGroupsRevision();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Peer.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Peer.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragwortmoor_peer_ProxyReportMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_peer_AcknowledgedMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_peer_AcknowledgedMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragwortmoor_peer_EndpointObservationMessage_descriptor;
   static final 
@@ -98,49 +103,54 @@
       "uncement\030\004 \001(\0132%.ragwortmoor.peer.Announ" +
       "cementMessageH\000\022D\n\020announcement_ack\030\005 \001(" +
       "\0132(.ragwortmoor.peer.AnnouncementAckMess" +
-      "ageH\000\022\023\n\tconsensus\030\006 \001(\014H\000B\006\n\004body\"\367\001\n\022P" +
+      "ageH\000\022\023\n\tconsensus\030\006 \001(\014H\000B\006\n\004body\"\264\002\n\022P" +
       "roxyReportMessage\022\r\n\005proxy\030\001 \001(\t\022\023\n\013inca" +
       "rnation\030\002 \001(\003\022\026\n\016failure_domain\030\003 \001(\t\022\020\n" +
       "\010sequence\030\004 \001(\004\022\025\n\rrules_version\030\005 \001(\004\022\030" +
       "\n\020prepared_version\030\006 \001(\004\022\020\n\010stopping\030\007 \001" +
       "(\010\022\017\n\007sent_at\030\010 \001(\022\022?\n\tendpoints\030\t \003(\0132," +
       ".ragwortmoor.peer.EndpointObservationMes" +
-      "sage\"\273\001\n\032EndpointObservationMessage\022\r\n\005g" +
-      "roup\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\025\n\rsilent_m" +
-      "illis\030\003 \001(\004\022\023\n\013connections\030\004 \001(\005\022\016\n\006want" +
-      "ed\030\005 \001(\005\022\024\n\014long_running\030\006 \001(\005\022\023\n\013long_w" +
-      "anted\030\007 \001(\005\022\025\n\rpromised_term\030\010 \001(\004\"\246\003\n\024C" +
-      "ontrolUpdateMessage\022\r\n\005proxy\030\001 \001(\t\022\023\n\013le" +
-      "ader_term\030\002 \001(\004\022\027\n\017report_sequence\030\003 \001(\004" +
-      "\022\026\n\016report_sent_at\030\004 \001(\022\022\032\n\022rules_lease_" +
-      "millis\030\005 \001(\004\022\032\n\022share_lease_millis\030\006 \001(\004" +
-      "\0221\n\005rules\030\007 \001(\0132\".ragwortmoor.peer.Rules" +
-      "TextMessage\0223\n\007pending\030\010 \001(\0132\".ragwortmo" +
-      "or.peer.RulesTextMessage\0222\n\006groups\030\t \003(\013" +
-      "2\".ragwortmoor.peer.GroupViewMessage\022.\n\006" +
-      "shares\030\n \003(\0132\036.ragwortmoor.peer.ShareMes" +
-      "sage\0225\n\ntoken_keys\030\013 \003(\0132!.ragwortmoor.p" +
-      "eer.TokenKeyMessage\"1\n\020RulesTextMessage\022" +
-      "\017\n\007version\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"\231\001\n\020Group" +
-      "ViewMessage\022\r\n\005group\030\001 \001(\t\022\014\n\004size\030\002 \001(\005" +
-      "\022\014\n\004term\030\003 \001(\004\022\024\n\007primary\030\004 \001(\tH\000\210\001\001\0228\n\t" +
-      "endpoints\030\005 \003(\0132%.ragwortmoor.peer.Endpo" +
-      "intInfoMessageB\n\n\010_primary\"\237\001\n\023EndpointI" +
-      "nfoMessage\022\020\n\010endpoint\030\001 \001(\t\022\023\n\013incarnat" +
-      "ion\030\002 \001(\003\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_do" +
-      "main\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\030\n\020connection_" +
-      "limit\030\006 \001(\005\022\017\n\007leaving\030\007 \001(\010\"i\n\014ShareMes" +
-      "sage\022\r\n\005group\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\r\n" +
-      "\005floor\030\003 \001(\005\022\023\n\013connections\030\004 \001(\005\022\024\n\014lon" +
-      "g_permits\030\005 \001(\005\"4\n\017TokenKeyMessage\022\n\n\002id" +
-      "\030\001 \001(\005\022\025\n\rsecret_base64\030\002 \001(\t\"\244\001\n\023Announ" +
-      "cementMessage\022\r\n\005group\030\001 \001(\t\022\014\n\004size\030\002 \001" +
-      "(\005\0223\n\004info\030\003 \001(\0132%.ragwortmoor.peer.Endp" +
-      "ointInfoMessage\022;\n\006status\030\004 \001(\0132+.ragwor" +
-      "tmoor.endpoint.EndpointStatusMessage\"N\n\026" +
-      "AnnouncementAckMessage\022\r\n\005group\030\001 \001(\t\022\020\n" +
-      "\010endpoint\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003B!\n\035" +
-      "org.ragwortmoor.protocol.wireP\001b\006proto3"
+      "sage\022;\n\014acknowledged\030\n \001(\0132%.ragwortmoor" +
+      ".peer.AcknowledgedMessage\"\\\n\023Acknowledge" +
+      "dMessage\022\023\n\013leader_term\030\001 \001(\004\022\027\n\017groups_" +
+      "revision\030\002 \001(\004\022\027\n\017report_sequence\030\003 \001(\004\"" +
+      "\273\001\n\032EndpointObservationMessage\022\r\n\005group\030" +
+      "\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\025\n\rsilent_millis" +
+      "\030\003 \001(\004\022\023\n\013connections\030\004 \001(\005\022\016\n\006wanted\030\005 " +
+      "\001(\005\022\024\n\014long_running\030\006 \001(\005\022\023\n\013long_wanted" +
+      "\030\007 \001(\005\022\025\n\rpromised_term\030\010 \001(\004\"\277\003\n\024Contro" +
+      "lUpdateMessage\022\r\n\005proxy\030\001 \001(\t\022\023\n\013leader_" +
+      "term\030\002 \001(\004\022\027\n\017report_sequence\030\003 \001(\004\022\026\n\016r" +
+      "eport_sent_at\030\004 \001(\022\022\032\n\022rules_lease_milli" +
+      "s\030\005 \001(\004\022\032\n\022share_lease_millis\030\006 \001(\004\0221\n\005r" +
+      "ules\030\007 \001(\0132\".ragwortmoor.peer.RulesTextM" +
+      "essage\0223\n\007pending\030\010 \001(\0132\".ragwortmoor.pe" +
+      "er.RulesTextMessage\0222\n\006groups\030\t \003(\0132\".ra" +
+      "gwortmoor.peer.GroupViewMessage\022.\n\006share" +
+      "s\030\n \003(\0132\036.ragwortmoor.peer.ShareMessage\022" +
+      "5\n\ntoken_keys\030\013 \003(\0132!.ragwortmoor.peer.T" +
+      "okenKeyMessage\022\027\n\017groups_revision\030\014 \001(\004\"" +
+      "1\n\020RulesTextMessage\022\017\n\007version\030\001 \001(\004\022\014\n\004" +
+      "text\030\002 \001(\t\"\231\001\n\020GroupViewMessage\022\r\n\005group" +
+      "\030\001 \001(\t\022\014\n\004size\030\002 \001(\005\022\014\n\004term\030\003 \001(\004\022\024\n\007pr" +
+      "imary\030\004 \001(\tH\000\210\001\001\0228\n\tendpoints\030\005 \003(\0132%.ra" +
+      "gwortmoor.peer.EndpointInfoMessageB\n\n\010_p" +
+      "rimary\"\237\001\n\023EndpointInfoMessage\022\020\n\010endpoi" +
+      "nt\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\017\n\007address" +
+      "\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030" +
+      "\005 \001(\005\022\030\n\020connection_limit\030\006 \001(\005\022\017\n\007leavi" +
+      "ng\030\007 \001(\010\"i\n\014ShareMessage\022\r\n\005group\030\001 \001(\t\022" +
+      "\020\n\010endpoint\030\002 \001(\t\022\r\n\005floor\030\003 \001(\005\022\023\n\013conn" +
+      "ections\030\004 \001(\005\022\024\n\014long_permits\030\005 \001(\005\"4\n\017T" +
+      "okenKeyMessage\022\n\n\002id\030\001 \001(\005\022\025\n\rsecret_bas" +
+      "e64\030\002 \001(\t\"\244\001\n\023AnnouncementMessage\022\r\n\005gro" +
+      "up\030\001 \001(\t\022\014\n\004size\030\002 \001(\005\0223\n\004info\030\003 \001(\0132%.r" +
+      "agwortmoor.peer.EndpointInfoMessage\022;\n\006s" +
+      "tatus\030\004 \001(\0132+.ragwortmoor.endpoint.Endpo" +
+      "intStatusMessage\"N\n\026AnnouncementAckMessa" +
+      "ge\022\r\n\005group\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\023\n\013i" +
+      "ncarnation\030\003 \001(\003B!\n\035org.ragwortmoor.prot" +
+      "ocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -158,57 +168,63 @@
     internal_static_ragwortmoor_peer_ProxyReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_ProxyReportMessage_descriptor,
-        new java.lang.String[] { "Proxy", "Incarnation", "FailureDomain", "Sequence", "RulesVersion", "PreparedVersion", "Stopping", "SentAt", "Endpoints", });
-    internal_static_ragwortmoor_peer_EndpointObservationMessage_descriptor =
+        new java.lang.String[] { "Proxy", "Incarnation", "FailureDomain", "Sequence", "RulesVersion", "PreparedVersion", "Stopping", "SentAt", "Endpoints", "Acknowledged", });
+    internal_static_ragwortmoor_peer_AcknowledgedMessage_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_ragwortmoor_peer_AcknowledgedMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_peer_AcknowledgedMessage_descriptor,
+        new java.lang.String[] { "LeaderTerm", "GroupsRevision", "ReportSequence", });
+    internal_static_ragwortmoor_peer_EndpointObservationMessage_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_ragwortmoor_peer_EndpointObservationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_EndpointObservationMessage_descriptor,
         new java.lang.String[] { "Group", "Endpoint", "SilentMillis", "Connections", "Wanted", "LongRunning", "LongWanted", "PromisedTerm", });
     internal_static_ragwortmoor_peer_ControlUpdateMessage_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_ragwortmoor_peer_ControlUpdateMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_ControlUpdateMessage_descriptor,
-        new java.lang.String[] { "Proxy", "LeaderTerm", "ReportSequence", "ReportSentAt", "RulesLeaseMillis", "ShareLeaseMillis", "Rules", "Pending", "Groups", "Shares", "TokenKeys", });
+        new java.lang.String[] { "Proxy", "LeaderTerm", "ReportSequence", "ReportSentAt", "RulesLeaseMillis", "ShareLeaseMillis", "Rules", "Pending", "Groups", "Shares", "TokenKeys", "GroupsRevision", });
     internal_static_ragwortmoor_peer_RulesTextMessage_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_ragwortmoor_peer_RulesTextMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_RulesTextMessage_descriptor,
         new java.lang.String[] { "Version", "Text", });
     internal_static_ragwortmoor_peer_GroupViewMessage_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_ragwortmoor_peer_GroupViewMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_GroupViewMessage_descriptor,
         new java.lang.String[] { "Group", "Size", "Term", "Primary", "Endpoints", });
     internal_static_ragwortmoor_peer_EndpointInfoMessage_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_ragwortmoor_peer_EndpointInfoMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_EndpointInfoMessage_descriptor,
         new java.lang.String[] { "Endpoint", "Incarnation", "Address", "FailureDomain", "Slots", "ConnectionLimit", "Leaving", });
     internal_static_ragwortmoor_peer_ShareMessage_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_ragwortmoor_peer_ShareMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_ShareMessage_descriptor,
         new java.lang.String[] { "Group", "Endpoint", "Floor", "Connections", "LongPermits", });
     internal_static_ragwortmoor_peer_TokenKeyMessage_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_ragwortmoor_peer_TokenKeyMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_TokenKeyMessage_descriptor,
         new java.lang.String[] { "Id", "SecretBase64", });
     internal_static_ragwortmoor_peer_AnnouncementMessage_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_ragwortmoor_peer_AnnouncementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_AnnouncementMessage_descriptor,
         new java.lang.String[] { "Group", "Size", "Info", "Status", });
     internal_static_ragwortmoor_peer_AnnouncementAckMessage_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_ragwortmoor_peer_AnnouncementAckMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_AnnouncementAckMessage_descriptor,
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ProxyReportMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ProxyReportMessage.java
@@ -46,6 +46,7 @@
             org.ragwortmoor.protocol.wire.ProxyReportMessage.class, org.ragwortmoor.protocol.wire.ProxyReportMessage.Builder.class);
   }
 
+  private int bitField0_;
   public static final int PROXY_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object proxy_ = "";
@@ -235,6 +236,32 @@
     return endpoints_.get(index);
   }
 
+  public static final int ACKNOWLEDGED_FIELD_NUMBER = 10;
+  private org.ragwortmoor.protocol.wire.AcknowledgedMessage acknowledged_;
+  /**
+   * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+   * @return Whether the acknowledged field is set.
+   */
+  @java.lang.Override
+  public boolean hasAcknowledged() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+   * @return The acknowledged.
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.AcknowledgedMessage getAcknowledged() {
+    return acknowledged_ == null ? org.ragwortmoor.protocol.wire.AcknowledgedMessage.getDefaultInstance() : acknowledged_;
+  }
+  /**
+   * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.AcknowledgedMessageOrBuilder getAcknowledgedOrBuilder() {
+    return acknowledged_ == null ? org.ragwortmoor.protocol.wire.AcknowledgedMessage.getDefaultInstance() : acknowledged_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -276,6 +303,9 @@
     for (int i = 0; i < endpoints_.size(); i++) {
       output.writeMessage(9, endpoints_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(10, getAcknowledged());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -319,6 +349,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, endpoints_.get(i));
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getAcknowledged());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -352,6 +386,11 @@
         != other.getSentAt()) return false;
     if (!getEndpointsList()
         .equals(other.getEndpointsList())) return false;
+    if (hasAcknowledged() != other.hasAcknowledged()) return false;
+    if (hasAcknowledged()) {
+      if (!getAcknowledged()
+          .equals(other.getAcknowledged())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -389,6 +428,10 @@
       hash = (37 * hash) + ENDPOINTS_FIELD_NUMBER;
       hash = (53 * hash) + getEndpointsList().hashCode();
     }
+    if (hasAcknowledged()) {
+      hash = (37 * hash) + ACKNOWLEDGED_FIELD_NUMBER;
+      hash = (53 * hash) + getAcknowledged().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -508,13 +551,20 @@
 
     // Construct using org.ragwortmoor.protocol.wire.ProxyReportMessage.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetEndpointsFieldBuilder();
+        internalGetAcknowledgedFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -535,6 +585,11 @@
         endpointsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      acknowledged_ = null;
+      if (acknowledgedBuilder_ != null) {
+        acknowledgedBuilder_.dispose();
+        acknowledgedBuilder_ = null;
+      }
       return this;
     }
 
@@ -605,6 +660,14 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.sentAt_ = sentAt_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.acknowledged_ = acknowledgedBuilder_ == null
+            ? acknowledged_
+            : acknowledgedBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -673,6 +736,9 @@
           }
         }
       }
+      if (other.hasAcknowledged()) {
+        mergeAcknowledged(other.getAcknowledged());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -752,6 +818,13 @@
               }
               break;
             } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetAcknowledgedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1357,6 +1430,127 @@
       return endpointsBuilder_;
     }
 
+    private org.ragwortmoor.protocol.wire.AcknowledgedMessage acknowledged_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.AcknowledgedMessage, org.ragwortmoor.protocol.wire.AcknowledgedMessage.Builder, org.ragwortmoor.protocol.wire.AcknowledgedMessageOrBuilder> acknowledgedBuilder_;
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     * @return Whether the acknowledged field is set.
+     */
+    public boolean hasAcknowledged() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     * @return The acknowledged.
+     */
+    public org.ragwortmoor.protocol.wire.AcknowledgedMessage getAcknowledged() {
+      if (acknowledgedBuilder_ == null) {
+        return acknowledged_ == null ? org.ragwortmoor.protocol.wire.AcknowledgedMessage.getDefaultInstance() : acknowledged_;
+      } else {
+        return acknowledgedBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     */
+    public Builder setAcknowledged(org.ragwortmoor.protocol.wire.AcknowledgedMessage value) {
+      if (acknowledgedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        acknowledged_ = value;
+      } else {
+        acknowledgedBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     */
+    public Builder setAcknowledged(
+        org.ragwortmoor.protocol.wire.AcknowledgedMessage.Builder builderForValue) {
+      if (acknowledgedBuilder_ == null) {
+        acknowledged_ = builderForValue.build();
+      } else {
+        acknowledgedBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     */
+    public Builder mergeAcknowledged(org.ragwortmoor.protocol.wire.AcknowledgedMessage value) {
+      if (acknowledgedBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0) &&
+          acknowledged_ != null &&
+          acknowledged_ != org.ragwortmoor.protocol.wire.AcknowledgedMessage.getDefaultInstance()) {
+          getAcknowledgedBuilder().mergeFrom(value);
+        } else {
+          acknowledged_ = value;
+        }
+      } else {
+        acknowledgedBuilder_.mergeFrom(value);
+      }
+      if (acknowledged_ != null) {
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     */
+    public Builder clearAcknowledged() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      acknowledged_ = null;
+      if (acknowledgedBuilder_ != null) {
+        acknowledgedBuilder_.dispose();
+        acknowledgedBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     */
+    public org.ragwortmoor.protocol.wire.AcknowledgedMessage.Builder getAcknowledgedBuilder() {
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return internalGetAcknowledgedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     */
+    public org.ragwortmoor.protocol.wire.AcknowledgedMessageOrBuilder getAcknowledgedOrBuilder() {
+      if (acknowledgedBuilder_ != null) {
+        return acknowledgedBuilder_.getMessageOrBuilder();
+      } else {
+        return acknowledged_ == null ?
+            org.ragwortmoor.protocol.wire.AcknowledgedMessage.getDefaultInstance() : acknowledged_;
+      }
+    }
+    /**
+     * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.AcknowledgedMessage, org.ragwortmoor.protocol.wire.AcknowledgedMessage.Builder, org.ragwortmoor.protocol.wire.AcknowledgedMessageOrBuilder> 
+        internalGetAcknowledgedFieldBuilder() {
+      if (acknowledgedBuilder_ == null) {
+        acknowledgedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.ragwortmoor.protocol.wire.AcknowledgedMessage, org.ragwortmoor.protocol.wire.AcknowledgedMessage.Builder, org.ragwortmoor.protocol.wire.AcknowledgedMessageOrBuilder>(
+                getAcknowledged(),
+                getParentForChildren(),
+                isClean());
+        acknowledged_ = null;
+      }
+      return acknowledgedBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.peer.ProxyReportMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ProxyReportMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ProxyReportMessageOrBuilder.java
@@ -97,4 +97,19 @@
    */
   org.ragwortmoor.protocol.wire.EndpointObservationMessageOrBuilder getEndpointsOrBuilder(
       int index);
+
+  /**
+   * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+   * @return Whether the acknowledged field is set.
+   */
+  boolean hasAcknowledged();
+  /**
+   * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+   * @return The acknowledged.
+   */
+  org.ragwortmoor.protocol.wire.AcknowledgedMessage getAcknowledged();
+  /**
+   * <code>.ragwortmoor.peer.AcknowledgedMessage acknowledged = 10;</code>
+   */
+  org.ragwortmoor.protocol.wire.AcknowledgedMessageOrBuilder getAcknowledgedOrBuilder();
 }
