--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/activation/package-info.java
@@ -0,0 +1,2 @@
+/** Activation of rule versions in a proxy, without I/O and clocks. */
+package org.ragwortmoor.coordination.activation;
--- a/core/src/test/java/org/ragwortmoor/state/rules/RuleParserTest.java
+++ b/core/src/test/java/org/ragwortmoor/state/rules/RuleParserTest.java
@@ -116,11 +116,10 @@
     void reportsAllProblemsInOneRunByPlace() {
         ParseResult result =
                 RuleParser.parse(
-                        String.join(
-                                "\n",
-                                "scope f",
-                                "allow all session=x partner=C",
-                                "partner C f c/ # requested by A"));
+                        """
+                        scope f
+                        allow all session=x partner=C
+                        partner C f c/ # requested by A""");
         assertThat(result.problems())
                 .extracting(RuleProblem::check)
                 .containsExactly(
