--- a/core/src/test/java/org/ragwortmoor/coordination/activation/RulesGateTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/activation/RulesGateTest.java
@@ -36,7 +36,8 @@
                 Option.of(pending),
                 List.of(),
                 List.of(),
-                List.of());
+                List.of(),
+                0);
     }
 
     private UpdateResult.Kind accept(long term, long sent, RulesText rules, RulesText pending) {
