Share append messages among the commands of a batch

Each command was sent in a message of its own, and each answer built lists of voters. The node now replicates after all events of a batch and computes majorities over arrays of cached voters.

--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
@@ -47,11 +47,25 @@
      * @return actions, to be carried out in this order
      */
     public List<ConsensusAction> handle(ConsensusEvent event, long now) {
+        return handleAll(List.of(event), now);
+    }
+
+    /** Handles several events; commands among them share append messages. */
+    public List<ConsensusAction> handleAll(List<ConsensusEvent> events, long now) {
         state.now = now;
-        if (state.role == Role.FAILED) {
-            refuseAfterFailure(event);
-            return state.takeActions();
+        for (ConsensusEvent event : events) {
+            if (state.role == Role.FAILED) {
+                refuseAfterFailure(event);
+            } else {
+                dispatch(event);
+                finish();
+            }
         }
+        leadership.forEach(Leadership::replicateAppended);
+        return state.takeActions();
+    }
+
+    private void dispatch(ConsensusEvent event) {
         if (event instanceof ConsensusEvent.Received received) {
             receive(received.message());
         } else if (event instanceof ConsensusEvent.Tick) {
@@ -71,8 +85,6 @@
             state.role = Role.FAILED;
             state.leader = Option.none();
         }
-        finish();
-        return state.takeActions();
     }
 
     /** Returns the time at which the next {@link ConsensusEvent.Tick} is due. */
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/EntryLog.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/EntryLog.java
@@ -7,6 +7,7 @@
 import org.ragwortmoor.state.log.Configuration;
 import org.ragwortmoor.state.log.EntryKind;
 import org.ragwortmoor.state.log.LogEntry;
+import org.ragwortmoor.state.log.MemberId;
 import org.ragwortmoor.state.log.Snapshot;
 import org.ragwortmoor.state.log.StorageCodec;
 
@@ -17,6 +18,8 @@
 
     private final List<LogEntry> entries = new ArrayList<>();
     private final TreeMap<Long, Configuration> configurations = new TreeMap<>();
+    private Configuration newest = Configuration.EMPTY;
+    private List<MemberId> voters = List.of();
     private long baseIndex;
     private long baseTerm;
 
@@ -84,7 +87,12 @@
     }
 
     Configuration configuration() {
-        return configurations.lastEntry().getValue();
+        return newest;
+    }
+
+    /** Returns the voters of {@link #configuration}. */
+    List<MemberId> voters() {
+        return voters;
     }
 
     long configurationIndex() {
@@ -103,12 +111,14 @@
         entries.add(entry);
         if (entry.kind() == EntryKind.CONFIGURATION) {
             configurations.put(entry.index(), StorageCodec.configurationOf(entry));
+            refreshNewest();
         }
     }
 
     void truncateAfter(long index) {
         entries.subList((int) (index - baseIndex), entries.size()).clear();
         configurations.tailMap(index, false).clear();
+        refreshNewest();
     }
 
     /** Drops the entries up to {@code index}, which a snapshot covers. */
@@ -131,7 +141,13 @@
         entries.clear();
         configurations.clear();
         configurations.put(snapshot.index(), snapshot.configuration());
+        refreshNewest();
         baseIndex = snapshot.index();
         baseTerm = snapshot.term();
     }
+
+    private void refreshNewest() {
+        newest = configurations.lastEntry().getValue();
+        voters = newest.voters();
+    }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/Leadership.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/Leadership.java
@@ -2,11 +2,13 @@
 
 import com.google.protobuf.ByteString;
 import io.vavr.control.Option;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.ragwortmoor.state.log.Configuration;
 import org.ragwortmoor.state.log.EntryKind;
@@ -22,6 +24,7 @@
     private final Map<MemberId, Progress> peers = new LinkedHashMap<>();
     private long firstIndex;
     private long nextHeartbeat;
+    private boolean appended;
     private Option<Long> stoppingUntil = Option.none();
 
     Leadership(NodeState state) {
@@ -47,7 +50,15 @@
         if (kind == EntryKind.CONFIGURATION) {
             trackMembers();
         }
-        peers.values().forEach(this::replicate);
+        appended = true;
+    }
+
+    /** Sends what was appended, so that the commands of one batch share their messages. */
+    void replicateAppended() {
+        if (appended) {
+            appended = false;
+            peers.values().forEach(this::replicate);
+        }
     }
 
     long firstIndex() {
@@ -83,15 +94,8 @@
 
     /** Returns the latest time at which messages were sent that a majority has answered. */
     long quorumContactAt() {
-        Configuration configuration = state.log.configuration();
-        List<Long> contacts =
-                configuration.voters().stream()
-                        .map(id -> id.equals(state.self) ? state.now : peers.get(id).contactAt)
-                        .sorted(
-                                Comparator.comparing(
-                                        at -> at - state.now, Comparator.reverseOrder()))
-                        .toList();
-        return contacts.get(configuration.majority() - 1);
+        // Times are compared by their distance, because the clock may have any origin.
+        return state.now + majorityOf(peer -> peer.contactAt - state.now, 0);
     }
 
     /** Returns whether no other leader can have been elected until {@code now}. */
@@ -148,13 +152,7 @@
      * the current term: a later leader could still replace them otherwise.
      */
     void advanceCommit() {
-        Configuration configuration = state.log.configuration();
-        long majorityIndex =
-                configuration.voters().stream()
-                        .map(id -> id.equals(state.self) ? state.syncedIndex : matchOf(id))
-                        .sorted(Comparator.reverseOrder())
-                        .toList()
-                        .get(configuration.majority() - 1);
+        long majorityIndex = majorityOf(peer -> peer.matchIndex, state.syncedIndex);
         if (majorityIndex > state.commitIndex && state.log.termAt(majorityIndex) == state.term) {
             state.commitIndex = majorityIndex;
         }
@@ -170,8 +168,16 @@
         return Option.ofOptional(live.max(Comparator.comparingLong(p -> p.matchIndex)));
     }
 
-    private long matchOf(MemberId id) {
-        return peers.get(id).matchIndex;
+    /** Returns the largest value that a majority of the voters has reached. */
+    private long majorityOf(ToLongFunction<Progress> value, long own) {
+        List<MemberId> voters = state.log.voters();
+        long[] values = new long[voters.size()];
+        for (int i = 0; i < values.length; i++) {
+            MemberId id = voters.get(i);
+            values[i] = id.equals(state.self) ? own : value.applyAsLong(peers.get(id));
+        }
+        Arrays.sort(values);
+        return values[(values.length - 1) / 2];
     }
 
     private void trackMembers() {
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ReplicatedLog.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ReplicatedLog.java
@@ -92,9 +92,7 @@
     public List<ConsensusAction> handleAll(List<ConsensusEvent> events, long now) {
         List<ConsensusEvent> pending = events;
         while (!pending.isEmpty()) {
-            for (ConsensusEvent event : pending) {
-                driver.execute(node.handle(event, now));
-            }
+            driver.execute(node.handleAll(pending, now));
             pending = driver.flush();
         }
         return driver.takeOutputs();
--- a/core/src/test/java/org/ragwortmoor/coordination/consensus/CommitCost.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/consensus/CommitCost.java
@@ -68,7 +68,11 @@
     }
 
     private void handle(ConsensusNode node, ConsensusEvent event) {
-        for (ConsensusAction action : node.handle(event, now)) {
+        handle(node, List.of(event));
+    }
+
+    private void handle(ConsensusNode node, List<ConsensusEvent> events) {
+        for (ConsensusAction action : node.handleAll(events, now)) {
             if (action instanceof ConsensusAction.Send send) {
                 network.add(send.message());
                 if (record) {
@@ -88,9 +92,11 @@
         ConsensusNode leader =
                 nodes.stream().filter(n -> n.leaderReady(now)).findFirst().orElseThrow();
         for (int i = 0; i < entries; i += batch) {
+            List<ConsensusEvent> commands = new ArrayList<>();
             for (int j = 0; j < batch; j++) {
-                handle(leader, new ConsensusEvent.Propose(j, payload));
+                commands.add(new ConsensusEvent.Propose(j, payload));
             }
+            handle(leader, commands);
             // 10,000 entries in a virtual second, so that heartbeats take their usual part.
             now += batch * MS / 10;
             step();
