--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ClusterStatus.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ClusterStatus.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.coordination.consensus;
 
+import io.vavr.control.Option;
 import java.util.Map;
 import org.ragwortmoor.state.log.Configuration;
 import org.ragwortmoor.state.log.MemberId;
@@ -35,7 +36,7 @@
      * Replication to one member.
      *
      * @param matchIndex last index that the member has synced
-     * @param contactAt time at which the newest answered message was sent
+     * @param contactAt time at which the newest answered message was sent, if any was answered
      */
-    public record MemberProgress(long matchIndex, long contactAt) {}
+    public record MemberProgress(long matchIndex, Option<Long> contactAt) {}
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
@@ -143,7 +143,8 @@
         for (Leadership current : leadership) {
             for (Progress peer : current.peers()) {
                 progress.put(
-                        peer.id, new ClusterStatus.MemberProgress(peer.matchIndex, peer.contactAt));
+                        peer.id,
+                        new ClusterStatus.MemberProgress(peer.matchIndex, peer.answeredContact()));
             }
         }
         return new ClusterStatus(
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/MemberRepair.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/MemberRepair.java
@@ -56,30 +56,30 @@
             return new Wait(node + " is no member; add it as a learner first");
         }
         Option<Member> learner = Option.ofOptional(find(members, false));
+        Option<Member> voter = Option.ofOptional(find(members, true));
         Option<MemberId> stranger = Option.of(status.strangers().get(node));
+        boolean voterAnswers = voter.exists(v -> answers(status, v.id()));
         if (learner.isDefined()) {
-            return replace(status, members, learner.get(), stranger);
+            MemberId id = learner.get().id();
+            // Either the node has lost its disk once more, or a late message of an earlier
+            // incarnation has added a learner that does not exist any more.
+            boolean gone = !answers(status, id) && (stranger.isDefined() || voterAnswers);
+            return gone ? new Change(new MembershipChange.Remove(id)) : replace(status, voter, id);
         }
-        if (stranger.isDefined()) {
+        if (stranger.isDefined() && !voterAnswers) {
             String address = members.get(0).address();
             return new Change(new MembershipChange.AddLearner(stranger.get(), address));
         }
         return confirm(status, members.get(0).id());
     }
 
-    private Step replace(
-            ClusterStatus status, List<Member> members, Member learner, Option<MemberId> stranger) {
-        boolean answers = answers(status, learner.id());
-        if (stranger.isDefined() && !answers) {
-            // The node has lost its disk once more.
-            return new Change(new MembershipChange.Remove(learner.id()));
+    private Step replace(ClusterStatus status, Option<Member> old, MemberId learner) {
+        if (!answers(status, learner) || !holdsCommitted(status, learner)) {
+            return new Wait(learner + " catches up: " + status.progress().get(learner));
         }
-        if (!answers || !holdsCommitted(status, learner.id())) {
-            return new Wait(learner.id() + " catches up: " + status.progress().get(learner.id()));
-        }
-        return Option.ofOptional(find(members, true))
-                .map(old -> (Step) new Change(new MembershipChange.Remove(old.id())))
-                .getOrElse(new Change(new MembershipChange.Promote(learner.id())));
+        return old.isDefined()
+                ? new Change(new MembershipChange.Remove(old.get().id()))
+                : new Change(new MembershipChange.Promote(learner));
     }
 
     private Step confirm(ClusterStatus status, MemberId voter) {
@@ -99,7 +99,9 @@
     }
 
     private boolean answers(ClusterStatus status, MemberId id) {
-        return Option.of(status.progress().get(id)).exists(p -> p.contactAt() - startedAt > 0);
+        return Option.of(status.progress().get(id))
+                .flatMap(p -> p.contactAt())
+                .exists(at -> at - startedAt > 0);
     }
 
     private static boolean holdsCommitted(ClusterStatus status, MemberId id) {
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/Progress.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/Progress.java
@@ -17,7 +17,9 @@
     // While the member's log is unknown, one message at a time is sent.
     boolean probing = true;
     boolean probeSent;
+    // Before the first answer, a time at which the lease is not valid.
     long contactAt;
+    private boolean answered;
     Option<Transfer> transfer = Option.none();
 
     private record Batch(long lastIndex, long bytes) {}
@@ -69,7 +71,13 @@
         inflightBytes = 0;
     }
 
+    /** Returns when the newest answered message was sent; none if no message was answered. */
+    Option<Long> answeredContact() {
+        return answered ? Option.some(contactAt) : Option.none();
+    }
+
     void contact(long sentAt) {
+        answered = true;
         if (sentAt - contactAt > 0) {
             contactAt = sentAt;
         }
--- a/core/src/test/java/org/ragwortmoor/coordination/consensus/ReplicatedLogTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/consensus/ReplicatedLogTest.java
@@ -188,6 +188,37 @@
         assertThat(lost.commands).hasSize(85);
     }
 
+    /** Guards against losses through lost disks that are repaired one after another. */
+    @Property(tries = 40, seed = "42")
+    void lostDisksUnderFaultsAreRepaired(@ForAll @LongRange(min = 0, max = 100_000) long seed) {
+        VirtualGroup group = new VirtualGroup(seed, 3 + 2 * (int) (seed % 2), SMALL);
+        List<ControlProcess> all = new ArrayList<>(group.processes.values());
+        group.propose(10, "first");
+        for (int round = 0; round < 4; round++) {
+            group.loss = 0.05;
+            group.duplication = 0.05;
+            ControlProcess lost = all.get(group.random.nextInt(all.size()));
+            lost.loseDisk();
+            group.run(group.random.nextLong(1500 * MS));
+            lost.start();
+            for (int step = 0; step < 10; step++) {
+                ControlProcess some = all.get(group.random.nextInt(all.size()));
+                if (some != lost && group.random.nextInt(3) == 0) {
+                    restart(some);
+                } else if (group.random.nextInt(3) == 0) {
+                    group.cut(some.id, all.get(group.random.nextInt(all.size())).id);
+                }
+                proposeAnywhere(all, "r" + round + "s" + step);
+                group.run(group.random.nextLong(300 * MS));
+            }
+            group.heal();
+            assertThat(group.repair(lost.id, 60_000 * MS)).as(group.dump()).isTrue();
+        }
+        group.run(1000 * MS);
+        group.propose(3, "after");
+        group.awaitAgreement();
+    }
+
     /** Guards against reporting done while the member has no copy, or only its old one had. */
     @Test
     void repairIsNotDoneWhileTheMemberDoesNotAnswer() {
