--- a/core/src/main/java/org/ragwortmoor/coordination/control/ControlCore.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ControlCore.java
@@ -226,6 +226,7 @@
                 changedGroups(report),
                 allocator.grant(report, state, now),
                 state.tokenKeys().asJava(),
+                report.incarnation(),
                 state.revision());
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/control/ControlUpdate.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ControlUpdate.java
@@ -18,6 +18,7 @@
  * @param groups the groups that changed after the revision that the proxy acknowledged
  * @param shares the proxy's share of each endpoint that it reported; of all others it has none
  * @param tokenKeys keys for session tokens, newest first
+ * @param proxyIncarnation incarnation that sent the report; a restarted proxy ignores the update
  * @param groupsRevision revision of the directory after this update; the proxy acknowledges it
  */
 public record ControlUpdate(
@@ -32,6 +33,7 @@
         List<GroupView> groups,
         List<Share> shares,
         List<TokenKey> tokenKeys,
+        long proxyIncarnation,
         long groupsRevision) {
     /** Copies the lists. */
     public ControlUpdate {
--- a/core/src/main/java/org/ragwortmoor/coordination/control/FairShares.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/FairShares.java
@@ -20,13 +20,12 @@
     private static final class Claim {
         private final String proxy;
         private final int demand;
-        private final int order;
+        private int order;
         private int share;
 
-        private Claim(String proxy, Need need, int order) {
+        private Claim(String proxy, Need need) {
             this.proxy = proxy;
             this.demand = Math.max(need.floor(), need.demand());
-            this.order = order;
             this.share = need.floor();
         }
 
@@ -51,12 +50,16 @@
 
     private static List<Claim> claims(SortedMap<String, Need> needs, long turn) {
         List<Claim> claims = new ArrayList<>(needs.size());
-        int first = needs.isEmpty() ? 0 : (int) Math.floorMod(turn, (long) needs.size());
-        int index = 0;
+        List<Claim> open = new ArrayList<>();
         for (Map.Entry<String, Need> need : needs.entrySet()) {
-            int order = Math.floorMod(index - first, needs.size());
-            claims.add(new Claim(need.getKey(), need.getValue(), order));
-            index++;
+            Claim claim = new Claim(need.getKey(), need.getValue());
+            claims.add(claim);
+            if (claim.share < claim.demand) {
+                open.add(claim);
+            }
+        }
+        for (int i = 0; i < open.size(); i++) {
+            open.get(i).order = (int) Math.floorMod(i - turn, (long) open.size());
         }
         return claims;
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/control/PromotionTrigger.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/PromotionTrigger.java
@@ -9,7 +9,14 @@
 
 /** Decides whether a group needs a promotion and which endpoints it should avoid. */
 final class PromotionTrigger {
+    /** Interval of attempts to replace a leaving primary without a majority of others. */
+    private static final long RETRY_NANOS = 30_000_000_000L;
+
+    /** Within each interval, the time in which the attempt may begin. */
+    private static final long ATTEMPT_NANOS = 1_000_000_000L;
+
     private final ControlContext context;
+    private long leavingSince = Long.MIN_VALUE;
 
     PromotionTrigger(ControlContext context) {
         this.context = context;
@@ -71,24 +78,32 @@
         return Option.none();
     }
 
-    /** A switch needs another endpoint that follows in the current term. */
+    /**
+     * A switch needs other endpoints that follow in the current term.
+     *
+     * <p>If they are no majority, the leaving primary itself may have the longest log and be chosen
+     * again at the price of a write gap, so that is tried rarely.
+     */
     private Option<String> planned(GroupState group, Member primary, long now) {
         if (!primary.leaving()) {
+            leavingSince = Long.MIN_VALUE;
             return Option.none();
         }
-        boolean successor =
-                group.endpoints()
-                        .values()
-                        .exists(
-                                m ->
-                                        !m.leaving()
-                                                && alive(group, m, now)
-                                                        .exists(s -> follows(s.status(), group)));
-        return successor
+        if (leavingSince == Long.MIN_VALUE) {
+            leavingSince = now;
+        }
+        int successors = group.endpoints().values().count(m -> successor(group, m, now));
+        boolean mayTry = (now - leavingSince) % RETRY_NANOS < ATTEMPT_NANOS;
+        return successors >= group.majority() || (successors > 0 && mayTry)
                 ? Option.of("primary " + primary.info().endpoint() + " is leaving")
                 : Option.none();
     }
 
+    private boolean successor(GroupState group, Member member, long now) {
+        return !member.leaving()
+                && alive(group, member, now).exists(s -> follows(s.status(), group));
+    }
+
     private static boolean follows(EndpointStatus status, GroupState group) {
         return status.promisedTerm() == group.term() && status.last().term() == group.term();
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/control/ProxyMembership.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ProxyMembership.java
@@ -15,9 +15,16 @@
     /** Longer than a restart or replacement of a VM takes. */
     static final long STALE_NANOS = 600_000_000_000L;
 
+    /**
+     * Time for which all connections must be explained. Announcements are older than reports by up
+     * to 500 ms, so that a rising share hides a foreign connection for a moment.
+     */
+    private static final long EXPLAINED_NANOS = 10_000_000_000L;
+
     private final ReportTable reports;
     private final EndpointDirectory directory;
     private long leaderSince;
+    private long unexplainedAt;
 
     ProxyMembership(ReportTable reports, EndpointDirectory directory) {
         this.reports = reports;
@@ -27,6 +34,7 @@
     /** Counts the silence of proxies that never reported here from now on. */
     void becameLeader(long now) {
         leaderSince = now;
+        unexplainedAt = now;
     }
 
     void reported(ProxyReport report, ControlState state, Outbox out, long now) {
@@ -39,6 +47,13 @@
 
     /** Proposes the removal of stopped and stale members. */
     void step(ControlState state, Outbox out, long now) {
+        if (state.members().keySet().exists(p -> silence(p, now) >= STALE_NANOS)) {
+            if (!explained(state, now)) {
+                unexplainedAt = now;
+            }
+        } else {
+            unexplainedAt = now;
+        }
         for (MemberProxy member : state.members().values()) {
             reason(member.proxy(), state, now)
                     .forEach(
@@ -50,16 +65,23 @@
         }
     }
 
+    private long silence(String proxy, long now) {
+        long lastReport =
+                reports.reporter(proxy)
+                        .map(ReportTable.Reporter::receivedAt)
+                        .getOrElse(leaderSince);
+        return now - Math.max(lastReport, leaderSince);
+    }
+
     private Option<String> reason(String proxy, ControlState state, long now) {
         Option<ReportTable.Reporter> reporter = reports.reporter(proxy);
-        long lastReport = reporter.map(ReportTable.Reporter::receivedAt).getOrElse(leaderSince);
-        long silent = now - Math.max(lastReport, leaderSince);
+        long silent = silence(proxy, now);
         boolean stopped =
                 reporter.exists(r -> r.report().stopping() && connections(r.report()) == 0);
         if (stopped && silent >= ShareAllocator.LEASE_NANOS) {
             return Option.of("stopped");
         }
-        if (silent >= STALE_NANOS && explained(state, now)) {
+        if (silent >= STALE_NANOS && now - unexplainedAt >= EXPLAINED_NANOS) {
             return Option.of("no report for " + STALE_NANOS / 60_000_000_000L + " minutes");
         }
         return Option.none();
--- a/core/src/main/java/org/ragwortmoor/coordination/control/ProxyShares.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ProxyShares.java
@@ -13,16 +13,23 @@
  */
 public final class ProxyShares {
     private final Map<EndpointKey, Share> shares = new HashMap<>();
+    private final long incarnation;
     private Acknowledged acknowledged = Acknowledged.NONE;
     private long deadline = Long.MIN_VALUE;
 
+    /** Creates the shares of a proxy process, none at first. */
+    public ProxyShares(long incarnation) {
+        this.incarnation = incarnation;
+    }
+
     /**
-     * Applies an update unless a newer one was applied.
+     * Applies an update unless a newer one was applied or it is for another process.
      *
      * @return whether it was applied; the other content of an ignored update must be ignored too
      */
     public boolean apply(ControlUpdate update) {
-        if (update.leaderTerm() < acknowledged.leaderTerm()
+        if (update.proxyIncarnation() != incarnation
+                || update.leaderTerm() < acknowledged.leaderTerm()
                 || update.reportSequence() <= acknowledged.sequence()) {
             return false;
         }
--- a/core/src/main/java/org/ragwortmoor/coordination/control/ShareHolder.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ShareHolder.java
@@ -20,15 +20,16 @@
     private record Grant(
             long sequence, int floor, int connections, int longPermits, long expiresAt) {}
 
+    /** Connections of a process that is silent or was replaced, whose lease ends at that time. */
+    private record Abandoned(long incarnation, int connections, long endsAt) {}
+
     private final List<Grant> grants = new ArrayList<>();
     private final Deque<Integer> heldWindow = new ArrayDeque<>();
     private EndpointObservation seen;
     private long incarnation;
     private long reportedAt;
     private int previousWanted;
-    private int abandoned;
-    private long abandonedAt;
-    private long abandonedBy;
+    private final List<Abandoned> abandoned = new ArrayList<>();
 
     void report(ProxyReport report, EndpointObservation observation, long leaderTerm, long now) {
         if (seen != null && incarnation != report.incarnation()) {
@@ -36,10 +37,9 @@
             grants.clear();
             heldWindow.clear();
             previousWanted = 0;
-        } else if (abandonedBy == report.incarnation()) {
-            // The same process is back and reports what it holds.
-            abandoned = 0;
         }
+        // A process that is back reports what it holds.
+        abandoned.removeIf(a -> a.incarnation() == report.incarnation());
         previousWanted = seen == null ? 0 : seen.wanted();
         incarnation = report.incarnation();
         seen = observation;
@@ -72,9 +72,7 @@
 
     private void abandon(int connections, long endsAt) {
         if (connections > 0) {
-            abandoned = Math.max(abandoned, connections);
-            abandonedAt = endsAt;
-            abandonedBy = incarnation;
+            abandoned.add(new Abandoned(incarnation, connections, endsAt));
         }
     }
 
@@ -109,18 +107,18 @@
         return most;
     }
 
-    /** Returns connections of an ended lease that the endpoint has not been seen to be rid of. */
+    /** Returns connections of leases that the endpoint has not been seen to be rid of. */
     int abandoned() {
-        return abandoned;
+        return abandoned.stream().mapToInt(Abandoned::connections).sum();
     }
 
-    /** Returns when the lease of {@link #abandoned} ended. */
+    /** Returns when the last lease of {@link #abandoned} ends. */
     long abandonedAt() {
-        return abandonedAt;
+        return abandoned.stream().mapToLong(Abandoned::endsAt).max().orElse(Long.MIN_VALUE);
     }
 
     void release() {
-        abandoned = 0;
+        abandoned.clear();
     }
 
     int held() {
@@ -133,7 +131,7 @@
 
     /** Returns the larger demand of two reports, so that a short pause moves no share. */
     int demand() {
-        return Math.max(previousWanted, Math.max(seen.wanted(), seen.connections() > 0 ? 1 : 0));
+        return Math.max(previousWanted, seen.wanted());
     }
 
     int longDemand() {
@@ -142,6 +140,6 @@
 
     /** Returns whether nothing is known that others must respect. */
     boolean idle(long now) {
-        return grants.isEmpty() && abandoned == 0 && !live(now);
+        return grants.isEmpty() && abandoned.isEmpty() && !live(now);
     }
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/control/ModelProxy.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/control/ModelProxy.java
@@ -17,7 +17,7 @@
     final Map<EndpointKey, Long> lastAnswer = new HashMap<>();
     final Map<EndpointKey, Integer> wanted = new HashMap<>();
     final Map<EndpointKey, Integer> held = new HashMap<>();
-    ProxyShares shares = new ProxyShares();
+    ProxyShares shares = new ProxyShares(1);
     long incarnation = 1;
     long sequence;
     long rulesVersion;
@@ -94,7 +94,7 @@
     void restart() {
         incarnation++;
         sequence = 0;
-        shares = new ProxyShares();
+        shares = new ProxyShares(incarnation);
         groups.clear();
         lastAnswer.clear();
         held.clear();
