--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/cli/ProcessRunner.java
@@ -0,0 +1,57 @@
+package org.ragwortmoor.cli;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps a process running until its planned stop, which SIGTERM and the API both begin. */
+final class ProcessRunner {
+    private static final Logger LOG = LoggerFactory.getLogger(ProcessRunner.class);
+
+    private ProcessRunner() {}
+
+    /**
+     * Waits for the planned stop and closes the process.
+     *
+     * @param node the process
+     * @param drain begins the planned stop; may be called twice
+     * @param stopped completes when the planned stop is complete
+     * @param stopMillis longest wait for the planned stop after SIGTERM, in milliseconds
+     */
+    static ExitCode runUntilStopped(
+            AutoCloseable node,
+            Runnable drain,
+            CompletableFuture<Void> stopped,
+            long stopMillis) {
+        Thread hook =
+                new Thread(
+                        () -> {
+                            drain.run();
+                            await(stopped, stopMillis);
+                        },
+                        "planned-stop");
+        Runtime.getRuntime().addShutdownHook(hook);
+        stopped.join();
+        try {
+            node.close();
+        } catch (Exception e) {
+            LOG.warn("the process did not close cleanly", e);
+        }
+        return ExitCode.OK;
+    }
+
+    private static void await(CompletableFuture<Void> stopped, long millis) {
+        try {
+            stopped.get(millis, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            LOG.warn("requests were still in flight after {} ms; stopping now", millis);
+        } catch (ExecutionException e) {
+            LOG.warn("the planned stop failed", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
@@ -32,6 +32,7 @@
     private final GroupDirectory groups;
     private final PendingRequests pending;
     private final AnswerWriter answers;
+    private final RequestFactory requests;
     private final TransactionAccess transactions = new TransactionAccess();
     private final LongSupplier clock;
     private final BooleanSupplier stopping;
@@ -41,12 +42,14 @@
             AccessControl access,
             GroupDirectory groups,
             PendingRequests pending,
+            RequestFactory requests,
             LongSupplier clock,
             BooleanSupplier stopping) {
         this.sessions = sessions;
         this.access = access;
         this.groups = groups;
         this.pending = pending;
+        this.requests = requests;
         this.answers = new AnswerWriter(sessions);
         this.clock = clock;
         this.stopping = stopping;
@@ -73,7 +76,7 @@
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, CallerRequest> request =
-                RequestFactory.read(
+                requests.read(
                         pending.newId(),
                         session,
                         body,
@@ -109,7 +112,7 @@
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, CallerRequest.Write> request =
-                RequestFactory.write(
+                requests.write(
                         pending.newId(), session, body, operations.get(), clock.getAsLong());
         String key = request.map(r -> r.identity().key()).getOrNull();
         return admitted(
@@ -126,9 +129,9 @@
             return refused(target.getLeft());
         }
         long now = clock.getAsLong();
-        Either<ErrorBody, Long> deadline = RequestFactory.deadline(body.deadlineMillis(), now);
+        Either<ErrorBody, Long> deadline = requests.deadline(body.deadlineMillis(), now);
         Either<ErrorBody, Long> end =
-                RequestFactory.transactionDeadline(body.transactionMillis(), now);
+                requests.transactionDeadline(body.transactionMillis(), now);
         if (deadline.isLeft() || end.isLeft()) {
             return refused(deadline.isLeft() ? deadline.getLeft() : end.getLeft());
         }
@@ -166,7 +169,7 @@
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, CallerRequest> request =
-                RequestFactory.deadline(body.deadlineMillis(), clock.getAsLong())
+                requests.deadline(body.deadlineMillis(), clock.getAsLong())
                         .map(
                                 deadline ->
                                         new CallerRequest.InTransaction(
@@ -191,7 +194,7 @@
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, CallerRequest.Commit> request =
-                RequestFactory.commit(pending.newId(), session, body, clock.getAsLong());
+                requests.commit(pending.newId(), session, body, clock.getAsLong());
         String key = request.map(r -> r.identity().key()).getOrNull();
         List<Operation> touched = transactions.operations(body.transaction());
         return admitted(
@@ -210,7 +213,7 @@
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, Long> deadline =
-                RequestFactory.deadline(body.deadlineMillis(), clock.getAsLong());
+                requests.deadline(body.deadlineMillis(), clock.getAsLong());
         if (deadline.isLeft()) {
             return refused(deadline.getLeft());
         }
@@ -240,7 +243,7 @@
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, Long> deadline =
-                RequestFactory.deadline(body.deadlineMillis(), clock.getAsLong());
+                requests.deadline(body.deadlineMillis(), clock.getAsLong());
         if (deadline.isLeft()) {
             return refused(deadline.getLeft());
         }
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlConfig.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlConfig.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.Map;
+import org.ragwortmoor.coordination.consensus.ConsensusSettings;
 
 /**
  * Checked configuration of a control process.
@@ -16,6 +17,7 @@
  * @param httpAddresses HTTP addresses of the members by node identifier, for hints to operators
  * @param dataFolder folder of the durable files
  * @param maxRequestBytes largest request body in bytes, which bounds the rule file
+ * @param consensus settings of the replicated log
  */
 public record ControlConfig(
         String nodeId,
@@ -27,7 +29,8 @@
         Map<String, String> members,
         Map<String, String> httpAddresses,
         Path dataFolder,
-        long maxRequestBytes) {
+        long maxRequestBytes,
+        ConsensusSettings consensus) {
     /** Copies the maps. */
     public ControlConfig {
         members = Map.copyOf(members);
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -17,7 +17,6 @@
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.ragwortmoor.coordination.consensus.ConsensusEvent;
-import org.ragwortmoor.coordination.consensus.ConsensusSettings;
 import org.ragwortmoor.coordination.consensus.ReplicatedLog;
 import org.ragwortmoor.coordination.control.ControlDump;
 import org.ragwortmoor.http.HttpServer;
@@ -137,7 +136,7 @@
                         config.nodeId(),
                         new SecureRandom()::nextLong,
                         LogSettings.DEFAULT,
-                        ConsensusSettings.defaults(config.members()),
+                        config.consensus(),
                         machine,
                         random(),
                         System.nanoTime());
--- a/app/src/main/java/org/ragwortmoor/daemon/EmbeddedDeployment.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/EmbeddedDeployment.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.ragwortmoor.coordination.consensus.ConsensusSettings;
 import org.ragwortmoor.coordination.engine.EngineSettings;
 import org.ragwortmoor.protocol.FrameLimits;
 import org.ragwortmoor.standin.StandinProcess;
@@ -152,7 +153,8 @@
                         members,
                         Map.of(),
                         folder.resolve(node),
-                        MAX_REQUEST_BYTES);
+                        MAX_REQUEST_BYTES,
+                        ConsensusSettings.defaults(members));
         ControlNode started = ControlNode.start(config).getOrElseThrow(e -> new IOException(e));
         controls.put(node, started);
     }
@@ -169,6 +171,7 @@
                         PROXY_WORKERS,
                         SESSION_MILLIS,
                         MAX_REQUEST_BYTES,
+                        ProxyConfig.Times.defaults(),
                         shape.engine());
         proxies.put(name, ProxyNode.start(config));
     }
@@ -222,6 +225,11 @@
         return endpoints.get(endpoint).server();
     }
 
+    /** Returns the identifiers of the running endpoints. */
+    public List<String> runningEndpoints() {
+        return List.copyOf(endpoints.keySet());
+    }
+
     /** Returns the HTTP addresses of the running proxies. */
     public List<String> proxyAddresses() {
         return proxies.values().stream().map(p -> HOST + ":" + p.httpPort()).toList();
--- a/app/src/main/java/org/ragwortmoor/daemon/ProxyConfig.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ProxyConfig.java
@@ -14,6 +14,7 @@
  * @param workers worker threads
  * @param sessionLifetimeMillis lifetime of a session in milliseconds
  * @param maxRequestBytes largest request body in bytes
+ * @param times times of requests
  * @param engine thresholds of the engines
  */
 public record ProxyConfig(
@@ -25,9 +26,25 @@
         int workers,
         long sessionLifetimeMillis,
         long maxRequestBytes,
+        Times times,
         EngineSettings engine) {
     /** Copies the list. */
     public ProxyConfig {
         controls = List.copyOf(controls);
     }
+
+    /**
+     * Times of requests, in milliseconds.
+     *
+     * @param defaultDeadlineMillis time within which a request without a deadline is answered
+     * @param maxDeadlineMillis longest deadline that a request may state
+     * @param transactionMillis time after which an open transaction is rolled back
+     */
+    public record Times(
+            long defaultDeadlineMillis, long maxDeadlineMillis, long transactionMillis) {
+        /** Returns the defaults: longer than a failover, shorter than idle limits of balancers. */
+        public static Times defaults() {
+            return new Times(5_000, 60_000, 30_000);
+        }
+    }
 }
--- a/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
@@ -73,7 +73,13 @@
         ProxyMetrics.register(registry, groups, access, pending);
         CallerService callers =
                 new CallerService(
-                        sessions, access, groups, pending, System::nanoTime, refusing::get);
+                        sessions,
+                        access,
+                        groups,
+                        pending,
+                        new RequestFactory(config.times()),
+                        System::nanoTime,
+                        refusing::get);
         http =
                 HttpServer.start(
                         config.httpHost(),
--- a/app/src/main/java/org/ragwortmoor/daemon/RequestFactory.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/RequestFactory.java
@@ -18,16 +18,14 @@
 
 /** Builds engine requests from checked request bodies. */
 final class RequestFactory {
-    private static final long DEFAULT_DEADLINE_MILLIS = 5_000;
-
-    /** A longer wait than this would outlive the idle limits of common balancers. */
-    static final long MAX_DEADLINE_MILLIS = 60_000;
-
-    private static final long DEFAULT_TRANSACTION_MILLIS = 10_000;
     private static final int MAX_LABEL_LENGTH = 64;
     private static final int MAX_KEY_LENGTH = 128;
 
-    private RequestFactory() {}
+    private final ProxyConfig.Times times;
+
+    RequestFactory(ProxyConfig.Times times) {
+        this.times = times;
+    }
 
     /**
      * Returns a read, or the error in its options.
@@ -35,7 +33,7 @@
      * @param ruleAgeMillis accepted age that the rules state for all records of the read
      * @param now current time in nanoseconds of the monotonic clock
      */
-    static Either<ErrorBody, CallerRequest> read(
+    Either<ErrorBody, CallerRequest> read(
             long id,
             SessionToken session,
             ReadBody body,
@@ -69,7 +67,7 @@
     }
 
     /** Returns a write, or the error in its options. */
-    static Either<ErrorBody, CallerRequest.Write> write(
+    Either<ErrorBody, CallerRequest.Write> write(
             long id, SessionToken session, WriteBody body, List<Operation> operations, long now) {
         if (body.key() != null && (body.key().isEmpty() || body.key().length() > MAX_KEY_LENGTH)) {
             return badKey();
@@ -91,7 +89,7 @@
     }
 
     /** Returns a commit, or the error in its options. */
-    static Either<ErrorBody, CallerRequest.Commit> commit(
+    Either<ErrorBody, CallerRequest.Commit> commit(
             long id, SessionToken session, TransactionBody body, long now) {
         if (body.key() != null && (body.key().isEmpty() || body.key().length() > MAX_KEY_LENGTH)) {
             return badKey();
@@ -109,17 +107,17 @@
     }
 
     /** Returns the deadline of a request in nanoseconds of the monotonic clock. */
-    static Either<ErrorBody, Long> deadline(Long millis, long now) {
-        long wait = millis == null ? DEFAULT_DEADLINE_MILLIS : millis;
-        if (wait < 1 || wait > MAX_DEADLINE_MILLIS) {
-            return bad("deadlineMillis is 1 to " + MAX_DEADLINE_MILLIS);
+    Either<ErrorBody, Long> deadline(Long millis, long now) {
+        long wait = millis == null ? times.defaultDeadlineMillis() : millis;
+        if (wait < 1 || wait > times.maxDeadlineMillis()) {
+            return bad("deadlineMillis is 1 to " + times.maxDeadlineMillis());
         }
         return Either.right(now + TimeUnit.MILLISECONDS.toNanos(wait));
     }
 
     /** Returns the time at which an open transaction ends. */
-    static Either<ErrorBody, Long> transactionDeadline(Long millis, long now) {
-        return deadline(millis == null ? Long.valueOf(DEFAULT_TRANSACTION_MILLIS) : millis, now)
+    Either<ErrorBody, Long> transactionDeadline(Long millis, long now) {
+        return deadline(millis == null ? Long.valueOf(times.transactionMillis()) : millis, now)
                 .mapLeft(
                         e ->
                                 new ErrorBody(
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusSettings.java
@@ -79,6 +79,23 @@
                 10_000);
     }
 
+    /** Returns these settings with other times, in nanoseconds. */
+    public ConsensusSettings withTimes(long beat, long min, long max, long leaseNanos) {
+        return new ConsensusSettings(
+                initialMembers,
+                beat,
+                min,
+                max,
+                leaseNanos,
+                batchBytes,
+                inflightBytes,
+                chunkBytes,
+                snapshotEntries,
+                snapshotBytes,
+                entryBytes,
+                uncommittedEntries);
+    }
+
     /** Returns these settings with another number of entries between snapshots. */
     public ConsensusSettings withSnapshotEntries(long entries) {
         return new ConsensusSettings(
