Add the command line with offline rule commands and the API client

Cause: operators check, compare and explain rule files offline, and control running processes over the HTTP API with true exit codes. Considered: service loading for the registry; a plain list keeps the order of the help.

--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/cli/Commands.java
@@ -0,0 +1,51 @@
+package org.ragwortmoor.cli;
+
+import java.util.List;
+
+/** The registry of subcommands; add a line to add a command. */
+public final class Commands {
+    /** All subcommands in the order of the help. */
+    public static final List<CommandEntry> ALL =
+            List.of(
+                    new CommandEntry("rules check", "Checks a rule file.", RulesCheck::new),
+                    new CommandEntry(
+                            "rules diff",
+                            "Shows what applying a rule file changes.",
+                            RulesDiff::new),
+                    new CommandEntry(
+                            "rules explain",
+                            "Explains what the rules say about a record.",
+                            RulesExplain::new),
+                    new CommandEntry(
+                            "rules apply", "Makes a rule file the next version.", RulesApply::new),
+                    new CommandEntry(
+                            "rules show", "Shows the rules in force.", ApiRequest.get("/v1/rules")),
+                    new CommandEntry(
+                            "rules history",
+                            "Shows all versions of the rules.",
+                            ApiRequest.get("/v1/rules/history")),
+                    new CommandEntry(
+                            "status",
+                            "Shows the state of a process.",
+                            ApiRequest.get("/v1/status")),
+                    new CommandEntry(
+                            "dump",
+                            "Prints the full state of a process.",
+                            ApiRequest.get("/v1/dump")),
+                    new CommandEntry(
+                            "drain",
+                            "Stops a process after its requests in flight.",
+                            ApiRequest.post("/v1/drain")),
+                    new CommandEntry(
+                            "query session", "Opens a session on a proxy.", QuerySession::new),
+                    new CommandEntry(
+                            "query read", "Reads records through a proxy.", QueryRead::new),
+                    new CommandEntry(
+                            "query write", "Writes records through a proxy.", QueryWrite::new),
+                    new CommandEntry(
+                            "settings",
+                            "Prints the reference of all settings.",
+                            SettingsPage::new));
+
+    private Commands() {}
+}
