Name the proxy's incarnation in updates

A restarted proxy must not count leases from the clock of its earlier start, so it ignores updates that answer an earlier incarnation's report.

--- a/app/src/main/java/org/ragwortmoor/cli/Commands.java
+++ b/app/src/main/java/org/ragwortmoor/cli/Commands.java
@@ -10,8 +10,7 @@
                     new CommandEntry("proxy", "Runs a proxy.", ProxyCommand::new),
                     new CommandEntry(
                             "control", "Runs a control process.", ControlProcessCommand::new),
-                    new CommandEntry(
-                            "endpoint", "Runs a stand-in endpoint.", EndpointCommand::new),
+                    new CommandEntry("endpoint", "Runs a stand-in endpoint.", EndpointCommand::new),
                     new CommandEntry(
                             "demo",
                             "Runs a whole deployment in one process and checks the promises.",
--- a/app/src/main/java/org/ragwortmoor/cli/ProcessRunner.java
+++ b/app/src/main/java/org/ragwortmoor/cli/ProcessRunner.java
@@ -22,10 +22,7 @@
      * @param stopMillis longest wait for the planned stop after SIGTERM, in milliseconds
      */
     static ExitCode runUntilStopped(
-            AutoCloseable node,
-            Runnable drain,
-            CompletableFuture<Void> stopped,
-            long stopMillis) {
+            AutoCloseable node, Runnable drain, CompletableFuture<Void> stopped, long stopMillis) {
         Thread hook =
                 new Thread(
                         () -> {
--- a/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
@@ -112,8 +112,7 @@
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, CallerRequest.Write> request =
-                requests.write(
-                        pending.newId(), session, body, operations.get(), clock.getAsLong());
+                requests.write(pending.newId(), session, body, operations.get(), clock.getAsLong());
         String key = request.map(r -> r.identity().key()).getOrNull();
         return admitted(
                 target.get(),
@@ -130,8 +129,7 @@
         }
         long now = clock.getAsLong();
         Either<ErrorBody, Long> deadline = requests.deadline(body.deadlineMillis(), now);
-        Either<ErrorBody, Long> end =
-                requests.transactionDeadline(body.transactionMillis(), now);
+        Either<ErrorBody, Long> end = requests.transactionDeadline(body.transactionMillis(), now);
         if (deadline.isLeft() || end.isLeft()) {
             return refused(deadline.isLeft() ? deadline.getLeft() : end.getLeft());
         }
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
@@ -86,7 +86,9 @@
 
     @Override
     public void received(PeerEnvelope message, Reply reply) {
-        if (message.body() instanceof PeerBody.Update update) {
+        // Leases of an earlier incarnation count from a clock that this process does not have.
+        if (message.body() instanceof PeerBody.Update update
+                && update.update().proxyIncarnation() == reports.incarnation()) {
             accept(update.update());
         }
     }
@@ -151,6 +153,7 @@
                 update.groups(),
                 update.shares(),
                 update.tokenKeys(),
+                update.proxyIncarnation(),
                 update.groupsRevision());
     }
 
--- a/app/src/main/java/org/ragwortmoor/daemon/ReportBuilder.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ReportBuilder.java
@@ -18,6 +18,11 @@
         this.failureDomain = failureDomain;
     }
 
+    /** Returns the number that distinguishes this start of the proxy from earlier ones. */
+    long incarnation() {
+        return incarnation;
+    }
+
     /**
      * Returns the next report.
      *
--- a/app/src/main/java/org/ragwortmoor/demo/Demo.java
+++ b/app/src/main/java/org/ragwortmoor/demo/Demo.java
@@ -147,7 +147,10 @@
                 "two transactions never mix",
                 committed
                         && separate
-                        && foreign.path("error").path("kind").asText().equals("FOREIGN_TRANSACTION"),
+                        && foreign.path("error")
+                                .path("kind")
+                                .asText()
+                                .equals("FOREIGN_TRANSACTION"),
                 "two open transactions committed separately; a statement of one session in the"
                         + " other's transaction was refused");
     }
@@ -161,8 +164,7 @@
                 duplicates++;
             }
         }
-        String value =
-                DemoCaller.value(caller.read(proxies().get(0), "counter")).getOrElse("none");
+        String value = DemoCaller.value(caller.read(proxies().get(0), "counter")).getOrElse("none");
         add(
                 "a write that may not be repeated runs at most once",
                 value.equals("1"),
--- a/app/src/main/java/org/ragwortmoor/demo/DemoCaller.java
+++ b/app/src/main/java/org/ragwortmoor/demo/DemoCaller.java
@@ -77,8 +77,7 @@
 
     /** Commits a transaction. */
     JsonNode commit(String proxy, String transaction) {
-        return send(
-                proxy, "/v1/transactions/commit", request().put("transaction", transaction));
+        return send(proxy, "/v1/transactions/commit", request().put("transaction", transaction));
     }
 
     /** Returns the value in an answer. */
--- a/core/src/main/java/org/ragwortmoor/protocol/UpdateCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/UpdateCodec.java
@@ -31,6 +31,7 @@
                         .setReportSentAt(update.reportSentAt())
                         .setRulesLeaseMillis(update.rulesLeaseMillis())
                         .setShareLeaseMillis(update.shareLeaseMillis())
+                        .setProxyIncarnation(update.proxyIncarnation())
                         .setGroupsRevision(update.groupsRevision());
         update.rules().forEach(rules -> builder.setRules(encode(rules)));
         update.pending().forEach(rules -> builder.setPending(encode(rules)));
@@ -81,6 +82,7 @@
                 groups,
                 shares,
                 keys,
+                message.getProxyIncarnation(),
                 notNegative(message.getGroupsRevision(), "update.groups_revision"));
     }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessage.java
@@ -328,6 +328,21 @@
     return groupsRevision_;
   }
 
+  public static final int PROXY_INCARNATION_FIELD_NUMBER = 13;
+  private long proxyIncarnation_ = 0L;
+  /**
+   * <pre>
+   * Incarnation that sent the report.
+   * </pre>
+   *
+   * <code>int64 proxy_incarnation = 13;</code>
+   * @return The proxyIncarnation.
+   */
+  @java.lang.Override
+  public long getProxyIncarnation() {
+    return proxyIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -378,6 +393,9 @@
     if (groupsRevision_ != 0L) {
       output.writeUInt64(12, groupsRevision_);
     }
+    if (proxyIncarnation_ != 0L) {
+      output.writeInt64(13, proxyIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -434,6 +452,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(12, groupsRevision_);
     }
+    if (proxyIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(13, proxyIncarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -479,6 +501,8 @@
         .equals(other.getTokenKeysList())) return false;
     if (getGroupsRevision()
         != other.getGroupsRevision()) return false;
+    if (getProxyIncarnation()
+        != other.getProxyIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -530,6 +554,9 @@
     hash = (37 * hash) + GROUPS_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getGroupsRevision());
+    hash = (37 * hash) + PROXY_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getProxyIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -709,6 +736,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000400);
       groupsRevision_ = 0L;
+      proxyIncarnation_ = 0L;
       return this;
     }
 
@@ -807,6 +835,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.groupsRevision_ = groupsRevision_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.proxyIncarnation_ = proxyIncarnation_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -929,6 +960,9 @@
       if (other.getGroupsRevision() != 0L) {
         setGroupsRevision(other.getGroupsRevision());
       }
+      if (other.getProxyIncarnation() != 0L) {
+        setProxyIncarnation(other.getProxyIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1043,6 +1077,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 104: {
+              proxyIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2286,6 +2325,50 @@
       return this;
     }
 
+    private long proxyIncarnation_ ;
+    /**
+     * <pre>
+     * Incarnation that sent the report.
+     * </pre>
+     *
+     * <code>int64 proxy_incarnation = 13;</code>
+     * @return The proxyIncarnation.
+     */
+    @java.lang.Override
+    public long getProxyIncarnation() {
+      return proxyIncarnation_;
+    }
+    /**
+     * <pre>
+     * Incarnation that sent the report.
+     * </pre>
+     *
+     * <code>int64 proxy_incarnation = 13;</code>
+     * @param value The proxyIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProxyIncarnation(long value) {
+
+      proxyIncarnation_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnation that sent the report.
+     * </pre>
+     *
+     * <code>int64 proxy_incarnation = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProxyIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      proxyIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.peer.ControlUpdateMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ControlUpdateMessageOrBuilder.java
@@ -159,4 +159,14 @@
    * @return The groupsRevision.
    */
   long getGroupsRevision();
+
+  /**
+   * <pre>
+   * Incarnation that sent the report.
+   * </pre>
+   *
+   * <code>int64 proxy_incarnation = 13;</code>
+   * @return The proxyIncarnation.
+   */
+  long getProxyIncarnation();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Peer.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Peer.java
@@ -118,7 +118,7 @@
       "\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\025\n\rsilent_millis" +
       "\030\003 \001(\004\022\023\n\013connections\030\004 \001(\005\022\016\n\006wanted\030\005 " +
       "\001(\005\022\024\n\014long_running\030\006 \001(\005\022\023\n\013long_wanted" +
-      "\030\007 \001(\005\022\025\n\rpromised_term\030\010 \001(\004\"\277\003\n\024Contro" +
+      "\030\007 \001(\005\022\025\n\rpromised_term\030\010 \001(\004\"\332\003\n\024Contro" +
       "lUpdateMessage\022\r\n\005proxy\030\001 \001(\t\022\023\n\013leader_" +
       "term\030\002 \001(\004\022\027\n\017report_sequence\030\003 \001(\004\022\026\n\016r" +
       "eport_sent_at\030\004 \001(\022\022\032\n\022rules_lease_milli" +
@@ -129,28 +129,29 @@
       "gwortmoor.peer.GroupViewMessage\022.\n\006share" +
       "s\030\n \003(\0132\036.ragwortmoor.peer.ShareMessage\022" +
       "5\n\ntoken_keys\030\013 \003(\0132!.ragwortmoor.peer.T" +
-      "okenKeyMessage\022\027\n\017groups_revision\030\014 \001(\004\"" +
-      "1\n\020RulesTextMessage\022\017\n\007version\030\001 \001(\004\022\014\n\004" +
-      "text\030\002 \001(\t\"\231\001\n\020GroupViewMessage\022\r\n\005group" +
-      "\030\001 \001(\t\022\014\n\004size\030\002 \001(\005\022\014\n\004term\030\003 \001(\004\022\024\n\007pr" +
-      "imary\030\004 \001(\tH\000\210\001\001\0228\n\tendpoints\030\005 \003(\0132%.ra" +
-      "gwortmoor.peer.EndpointInfoMessageB\n\n\010_p" +
-      "rimary\"\237\001\n\023EndpointInfoMessage\022\020\n\010endpoi" +
-      "nt\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\017\n\007address" +
-      "\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030" +
-      "\005 \001(\005\022\030\n\020connection_limit\030\006 \001(\005\022\017\n\007leavi" +
-      "ng\030\007 \001(\010\"i\n\014ShareMessage\022\r\n\005group\030\001 \001(\t\022" +
-      "\020\n\010endpoint\030\002 \001(\t\022\r\n\005floor\030\003 \001(\005\022\023\n\013conn" +
-      "ections\030\004 \001(\005\022\024\n\014long_permits\030\005 \001(\005\"4\n\017T" +
-      "okenKeyMessage\022\n\n\002id\030\001 \001(\005\022\025\n\rsecret_bas" +
-      "e64\030\002 \001(\t\"\244\001\n\023AnnouncementMessage\022\r\n\005gro" +
-      "up\030\001 \001(\t\022\014\n\004size\030\002 \001(\005\0223\n\004info\030\003 \001(\0132%.r" +
-      "agwortmoor.peer.EndpointInfoMessage\022;\n\006s" +
-      "tatus\030\004 \001(\0132+.ragwortmoor.endpoint.Endpo" +
-      "intStatusMessage\"N\n\026AnnouncementAckMessa" +
-      "ge\022\r\n\005group\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\023\n\013i" +
-      "ncarnation\030\003 \001(\003B!\n\035org.ragwortmoor.prot" +
-      "ocol.wireP\001b\006proto3"
+      "okenKeyMessage\022\027\n\017groups_revision\030\014 \001(\004\022" +
+      "\031\n\021proxy_incarnation\030\r \001(\003\"1\n\020RulesTextM" +
+      "essage\022\017\n\007version\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"\231\001" +
+      "\n\020GroupViewMessage\022\r\n\005group\030\001 \001(\t\022\014\n\004siz" +
+      "e\030\002 \001(\005\022\014\n\004term\030\003 \001(\004\022\024\n\007primary\030\004 \001(\tH\000" +
+      "\210\001\001\0228\n\tendpoints\030\005 \003(\0132%.ragwortmoor.pee" +
+      "r.EndpointInfoMessageB\n\n\010_primary\"\237\001\n\023En" +
+      "dpointInfoMessage\022\020\n\010endpoint\030\001 \001(\t\022\023\n\013i" +
+      "ncarnation\030\002 \001(\003\022\017\n\007address\030\003 \001(\t\022\026\n\016fai" +
+      "lure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\030\n\020conn" +
+      "ection_limit\030\006 \001(\005\022\017\n\007leaving\030\007 \001(\010\"i\n\014S" +
+      "hareMessage\022\r\n\005group\030\001 \001(\t\022\020\n\010endpoint\030\002" +
+      " \001(\t\022\r\n\005floor\030\003 \001(\005\022\023\n\013connections\030\004 \001(\005" +
+      "\022\024\n\014long_permits\030\005 \001(\005\"4\n\017TokenKeyMessag" +
+      "e\022\n\n\002id\030\001 \001(\005\022\025\n\rsecret_base64\030\002 \001(\t\"\244\001\n" +
+      "\023AnnouncementMessage\022\r\n\005group\030\001 \001(\t\022\014\n\004s" +
+      "ize\030\002 \001(\005\0223\n\004info\030\003 \001(\0132%.ragwortmoor.pe" +
+      "er.EndpointInfoMessage\022;\n\006status\030\004 \001(\0132+" +
+      ".ragwortmoor.endpoint.EndpointStatusMess" +
+      "age\"N\n\026AnnouncementAckMessage\022\r\n\005group\030\001" +
+      " \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\023\n\013incarnation\030\003 " +
+      "\001(\003B!\n\035org.ragwortmoor.protocol.wireP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -186,7 +187,7 @@
     internal_static_ragwortmoor_peer_ControlUpdateMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_ControlUpdateMessage_descriptor,
-        new java.lang.String[] { "Proxy", "LeaderTerm", "ReportSequence", "ReportSentAt", "RulesLeaseMillis", "ShareLeaseMillis", "Rules", "Pending", "Groups", "Shares", "TokenKeys", "GroupsRevision", });
+        new java.lang.String[] { "Proxy", "LeaderTerm", "ReportSequence", "ReportSentAt", "RulesLeaseMillis", "ShareLeaseMillis", "Rules", "Pending", "Groups", "Shares", "TokenKeys", "GroupsRevision", "ProxyIncarnation", });
     internal_static_ragwortmoor_peer_RulesTextMessage_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_ragwortmoor_peer_RulesTextMessage_fieldAccessorTable = new
--- a/core/src/test/java/org/ragwortmoor/coordination/activation/RulesGateTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/activation/RulesGateTest.java
@@ -37,6 +37,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                1,
                 0);
     }
 
