Propose the first token key until the state has one

Cause: the leader proposed the key once per leadership; a proposal refused while a majority did not answer was never repeated, so no session could be opened until the next election. The refused proposal was ruled out as a consensus fault: the log named the members that did not answer. The peer server now starts last, because messages arrived before the loop was started.

--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
@@ -4,7 +4,6 @@
 import io.vavr.control.Either;
 import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +21,6 @@
 import org.ragwortmoor.coordination.control.ControlStateCodec;
 import org.ragwortmoor.coordination.control.OperatorAnswer;
 import org.ragwortmoor.coordination.control.OperatorRequest;
-import org.ragwortmoor.coordination.control.TokenKey;
 import org.ragwortmoor.protocol.ConsensusCodec;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerEnvelope;
@@ -42,8 +40,6 @@
     /** Short against the heartbeat of 100 ms and the scan of 50 ms. */
     private static final long TICK_MILLIS = 10;
 
-    private static final int TOKEN_KEY_BYTES = 32;
-
     private static final Logger LOG = LoggerFactory.getLogger(ControlLoop.class);
 
     private final ScheduledThreadPoolExecutor thread;
@@ -52,11 +48,10 @@
     private final Map<String, String> initialMembers;
     private final Map<String, PeerListener.Reply> proxies = new HashMap<>();
     private final Map<String, Consumer<OperatorAnswer>> operators = new HashMap<>();
+    private final TokenKeyBootstrap tokenKey = new TokenKeyBootstrap(new SecureRandom());
     private PeerSender peers;
     private EndpointCaller endpoints;
-    private boolean leader;
     private boolean ready;
-    private boolean keyProposed;
 
     /** Sends messages to other control processes. */
     interface PeerSender {
@@ -152,7 +147,9 @@
         consensus(new ConsensusEvent.Tick());
         endpoints.expire(System.nanoTime());
         machine.handle(new ControlEvent.Tick(System.currentTimeMillis()));
-        ensureTokenKey();
+        tokenKey.next(
+                        machine.state(), ready, System.currentTimeMillis(), System.nanoTime())
+                .forEach(this::propose);
         drain();
     }
 
@@ -215,12 +212,9 @@
         if (action instanceof ConsensusAction.Send send) {
             send(send.message());
         } else if (action instanceof ConsensusAction.BecameLeader became) {
-            leader = true;
             LOG.info("elected leader of term {}", became.term());
             machine.handle(new ControlEvent.BecameLeader(became.term()));
         } else if (action instanceof ConsensusAction.LostLeadership lost) {
-            leader = false;
-            keyProposed = false;
             LOG.info("no longer leader of term {}: {}", lost.term(), lost.reason());
             machine.handle(new ControlEvent.LostLeadership());
         }
@@ -239,17 +233,4 @@
                 new ArrayList<>(log.status(System.nanoTime()).configuration().membersOf(to.node()));
         return members.isEmpty() ? initialMembers.get(to.node()) : members.get(0).address();
     }
-
-    /** The first leader creates the key that signs session tokens. */
-    private void ensureTokenKey() {
-        if (!leader || !ready || keyProposed || !machine.state().tokenKeys().isEmpty()) {
-            return;
-        }
-        keyProposed = true;
-        byte[] secret = new byte[TOKEN_KEY_BYTES];
-        new SecureRandom().nextBytes(secret);
-        TokenKey key = new TokenKey(1, Base64.getEncoder().encodeToString(secret));
-        long wall = System.currentTimeMillis();
-        propose(new ControlCommand.AddTokenKey("first-token-key", key, "control", wall));
-    }
 }
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -66,14 +66,6 @@
         log.notices().forEach(notice -> LOG.warn("recovery: {}", notice));
         TransportMetrics transportMetrics = new TransportMetrics(registry);
         TransportSettings transport = TransportSettings.defaults(config.peerHost());
-        server =
-                new PeerServer(
-                        transport,
-                        config.peerPort(),
-                        config.nodeId(),
-                        workers.pool(),
-                        loop,
-                        transportMetrics);
         peers =
                 new PeerClient(
                         transport,
@@ -98,6 +90,15 @@
                         new OperatorService(loop, workers.timer(), config.httpAddresses()),
                         this);
         loop.start(peers::send, endpoints);
+        // Messages are accepted last, when everything that they can cause is in place.
+        server =
+                new PeerServer(
+                        transport,
+                        config.peerPort(),
+                        config.nodeId(),
+                        workers.pool(),
+                        loop,
+                        transportMetrics);
         LOG.info(
                 "control process {} in {} serves peers on port {} and HTTP on port {}",
                 config.nodeId(),
