Test control characters in rule lines

Cause: a trial that let control characters pass broke no test of ReadableWords. Considered: relying on the fuzz test; it does not know which characters must be refused. Result: a control character and a lone carriage return are refused at their column.

--- a/core/src/test/java/org/ragwortmoor/state/rules/ReadableWordsTest.java
+++ b/core/src/test/java/org/ragwortmoor/state/rules/ReadableWordsTest.java
@@ -29,5 +29,9 @@
                 .containsExactly("1:10");
         assertThat(RuleCases.places("ReadableWords", "", "scope f c/ # requested by\u00a0A"))
                 .containsExactly("2:26");
+        assertThat(RuleCases.places("ReadableWords", "scope f c\u0007/ # requested by A"))
+                .containsExactly("1:10");
+        assertThat(RuleCases.places("ReadableWords", "scope f c/ \r# requested by A"))
+                .containsExactly("1:12");
     }
 }
