--- a/app/src/main/java/org/ragwortmoor/transport/Channels.java
+++ b/app/src/main/java/org/ragwortmoor/transport/Channels.java
@@ -1,11 +1,14 @@
 package org.ragwortmoor.transport;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
@@ -13,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +76,28 @@
                 .connect(address);
     }
 
+    /** Writes a frame; a failure closes the channel. */
+    static void write(Channel channel, ByteBuf frame) {
+        channel.write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Closes a channel; its handler learns of the end. */
+    static void close(Channel channel) {
+        channel.close().addListener(done -> logFailure(done, "close"));
+    }
+
+    /** Runs a task on the event loop after a delay. */
+    static void after(EventLoop loop, long delayMillis, Runnable task) {
+        loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS)
+                .addListener(done -> logFailure(done, "timer"));
+    }
+
+    private static void logFailure(Future<?> done, String what) {
+        if (!done.isSuccess() && !done.isCancelled()) {
+            LOG.error("{} failed", what, done.cause());
+        }
+    }
+
     /** Returns the socket address of an IP number and port, or nothing if it has no such form. */
     static Option<InetSocketAddress> parse(String address) {
         if (!address.matches("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}")) {
--- a/app/src/main/java/org/ragwortmoor/transport/EndpointChannel.java
+++ b/app/src/main/java/org/ragwortmoor/transport/EndpointChannel.java
@@ -83,7 +83,8 @@
             return;
         }
         metrics.frame(address, TransportMetrics.OUT, FrameLimits.LENGTH_BYTES + frame.length);
-        current.writeAndFlush(Unpooled.wrappedBuffer(frame), current.voidPromise());
+        Channels.write(current, Unpooled.wrappedBuffer(frame));
+        current.flush();
     }
 
     /** Closes the channel, or prevents its use if it is still being connected. */
@@ -91,7 +92,7 @@
         closing = true;
         Channel current = active;
         if (current != null) {
-            current.close();
+            Channels.close(current);
         }
     }
 
@@ -99,7 +100,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         active = ctx.channel();
         if (closing) {
-            ctx.close();
+            Channels.close(ctx.channel());
             return;
         }
         write(
--- a/app/src/main/java/org/ragwortmoor/transport/PeerChannel.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerChannel.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.transport;
 
+import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -86,13 +87,14 @@
     void close() {
         Channel current = active;
         if (current != null) {
-            current.close();
+            Channels.close(current);
         }
     }
 
     void probe() {
         if (active != null && active.isWritable()) {
-            active.writeAndFlush(Unpooled.EMPTY_BUFFER);
+            Channels.write(active, Unpooled.EMPTY_BUFFER);
+            active.flush();
         }
     }
 
@@ -107,9 +109,9 @@
             if (message.isEmpty()) {
                 break;
             }
-            byte[] frame = message.get().frame();
-            metrics.frame(label, TransportMetrics.OUT, FrameLimits.LENGTH_BYTES + frame.length);
-            current.write(Unpooled.wrappedBuffer(frame));
+            ByteString frame = message.get().frame();
+            metrics.frame(label, TransportMetrics.OUT, FrameLimits.LENGTH_BYTES + frame.size());
+            Channels.write(current, Unpooled.wrappedBuffer(frame.asReadOnlyByteBuffer()));
             wrote = true;
         }
         if (wrote) {
@@ -144,7 +146,7 @@
         if (message.isLeft()) {
             metrics.error(label, "bad_frame");
             LOG.warn("closing connection to {}: {}", label, message.getLeft());
-            ctx.close();
+            Channels.close(ctx.channel());
             return;
         }
         if (returnsProbes) {
@@ -168,6 +170,6 @@
         } else {
             metrics.error(label, "io_error");
         }
-        ctx.close();
+        Channels.close(ctx.channel());
     }
 }
--- a/app/src/main/java/org/ragwortmoor/transport/PeerClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerClient.java
@@ -159,7 +159,7 @@
 
         private void reconnect() {
             if (!ended) {
-                loop.schedule(this::connect, jittered(failures), TimeUnit.MILLISECONDS);
+                Channels.after(loop, jittered(failures), this::connect);
                 failures++;
             }
         }
@@ -169,16 +169,14 @@
             if (message.isEmpty()) {
                 return false;
             }
-            for (int i = queue.offer(message.get()); i > 0; i--) {
+            int dropped =
+                    connected ? queue.offer(message.get()) : queue.offerReplacing(message.get());
+            for (int i = 0; i < dropped; i++) {
                 metrics.dropped(address);
             }
             PeerChannel current = channel;
             if (connected && current != null) {
                 current.drainSoon();
-            } else if (message.get().heartbeat()) {
-                for (int i = queue.dropStale(message.get()); i > 0; i--) {
-                    metrics.dropped(address);
-                }
             }
             return true;
         }
--- a/app/src/main/java/org/ragwortmoor/transport/PeerFrames.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerFrames.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.transport;
 
+import com.google.protobuf.ByteString;
 import io.vavr.control.Option;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerCodec;
@@ -23,13 +24,13 @@
 
     /** Returns the encoded message, or nothing if it exceeds the frame limit. */
     Option<PeerQueue.Message> encode(String peer, PeerBody body) {
-        byte[] frame = PeerCodec.encode(new PeerEnvelope(self, body)).toByteArray();
-        if (settings.frameLimits().check(frame.length).isDefined()) {
+        ByteString frame = PeerCodec.encode(new PeerEnvelope(self, body)).toByteString();
+        if (settings.frameLimits().check(frame.size()).isDefined()) {
             metrics.error(peer, "message_too_large");
             LOG.error(
                     "message to {} dropped: {}",
                     peer,
-                    settings.frameLimits().check(frame.length).get());
+                    settings.frameLimits().check(frame.size()).get());
             return Option.none();
         }
         return Option.some(new PeerQueue.Message(body.getClass(), body.heartbeat(), frame));
--- a/app/src/main/java/org/ragwortmoor/transport/PeerQueue.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerQueue.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.transport;
 
+import com.google.protobuf.ByteString;
 import io.vavr.control.Option;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -15,7 +16,7 @@
     private final Deque<Message> messages = new ArrayDeque<>();
 
     /** An encoded message. */
-    record Message(Class<? extends PeerBody> kind, boolean heartbeat, byte[] frame) {}
+    record Message(Class<? extends PeerBody> kind, boolean heartbeat, ByteString frame) {}
 
     PeerQueue(int limit) {
         this.limit = limit;
@@ -32,11 +33,16 @@
         return dropped;
     }
 
-    /** Keeps only the newest heartbeat of each kind; for a peer that cannot be reached. */
-    synchronized int dropStale(Message newest) {
+    /**
+     * Adds a message for a peer that cannot be reached now: of each kind of heartbeat, only the
+     * newest one waits. Returns the number of messages that were dropped for it.
+     */
+    synchronized int offerReplacing(Message message) {
         int before = messages.size();
-        messages.removeIf(m -> m != newest && m.heartbeat() && m.kind() == newest.kind());
-        return before - messages.size();
+        if (message.heartbeat()) {
+            messages.removeIf(m -> m.kind() == message.kind());
+        }
+        return before - messages.size() + offer(message);
     }
 
     synchronized Option<Message> poll() {
--- a/standin/src/main/java/org/ragwortmoor/standin/Announcer.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/Announcer.java
@@ -1,7 +1,6 @@
 package org.ragwortmoor.standin;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -97,7 +96,7 @@
                 connect(bytes);
             } else if (channel.isActive() && channel.isWritable()) {
                 unanswered++;
-                channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+                Frames.write(channel, bytes);
             }
         }
 
@@ -116,9 +115,9 @@
                         if (!done.isSuccess()) {
                             forget(mine);
                         } else if (closed) {
-                            mine.close();
+                            Frames.close(mine);
                         } else if (!server.faults.cutOff(peer, Direction.OUTBOUND)) {
-                            mine.writeAndFlush(Unpooled.wrappedBuffer(first));
+                            Frames.write(mine, first);
                         }
                     });
             mine.closeFuture().addListener(done -> forget(mine));
@@ -133,7 +132,7 @@
         void close() {
             closed = true;
             if (channel != null) {
-                channel.close();
+                Frames.close(channel);
                 channel = null;
             }
         }
@@ -154,7 +153,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            Frames.close(ctx.channel());
         }
     }
 }
--- a/standin/src/main/java/org/ragwortmoor/standin/DelayLine.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/DelayLine.java
@@ -38,7 +38,7 @@
 
     private void schedule(long dueNanos) {
         long delay = Math.max(0, dueNanos - System.nanoTime());
-        loop.schedule(this::drain, delay, TimeUnit.NANOSECONDS);
+        Frames.after(loop, delay, TimeUnit.NANOSECONDS, this::drain);
     }
 
     private void drain() {
--- a/standin/src/main/java/org/ragwortmoor/standin/FaultCodec.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/FaultCodec.java
@@ -37,7 +37,7 @@
             builder.setCutOff(
                     CutOffFault.newBuilder()
                             .addAllPeers(cut.peers())
-                            .setDirection(CutDirection.forNumber(cut.direction().ordinal())));
+                            .setDirection(encode(cut.direction())));
         } else if (fault instanceof FaultSwitch.StopReplication stop) {
             builder.setStopReplication(stop.on());
         } else if (fault instanceof FaultSwitch.Leaving leaving) {
@@ -50,6 +50,14 @@
         return builder.build();
     }
 
+    private static CutDirection encode(FaultSwitch.Direction direction) {
+        return switch (direction) {
+            case BOTH -> CutDirection.CUT_DIRECTION_BOTH;
+            case INBOUND -> CutDirection.CUT_DIRECTION_INBOUND;
+            case OUTBOUND -> CutDirection.CUT_DIRECTION_OUTBOUND;
+        };
+    }
+
     static Either<ProtocolError, FaultSwitch> decode(FaultSwitchMessage message) {
         return switch (message.getKindCase()) {
             case SILENCE_CONNECTIONS ->
--- a/standin/src/main/java/org/ragwortmoor/standin/FrameLink.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/FrameLink.java
@@ -1,6 +1,5 @@
 package org.ragwortmoor.standin;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.protocol.wire.EndpointFrame;
@@ -70,10 +69,11 @@
         if (releaseHeld == null && server.faults.takeCross()) {
             releaseHeld = () -> send(frame);
             Runnable mine = releaseHeld;
-            server.loop.schedule(
-                    () -> releaseIfHeld(mine),
+            Frames.after(
+                    server.loop,
                     server.faults.crossHoldMicros(),
-                    TimeUnit.MICROSECONDS);
+                    TimeUnit.MICROSECONDS,
+                    () -> releaseIfHeld(mine));
             return;
         }
         send(frame);
@@ -101,14 +101,14 @@
         byte[] bytes = frame.toByteArray();
         if (!channel.isWritable()
                 || server.settings.frameLimits().check(bytes.length).isDefined()) {
-            channel.close();
+            Frames.close(channel);
             return;
         }
-        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes), channel.voidPromise());
+        Frames.write(channel, bytes);
     }
 
     void close() {
-        channel.close();
+        Frames.close(channel);
     }
 
     /** Closes the connection when what was sent before has been passed on. */
@@ -117,7 +117,7 @@
                 server.delayMicros(),
                 () -> {
                     if (!drops(Direction.OUTBOUND)) {
-                        channel.close();
+                        Frames.close(channel);
                     }
                 });
     }
--- a/standin/src/main/java/org/ragwortmoor/standin/Frames.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/Frames.java
@@ -1,8 +1,10 @@
 package org.ragwortmoor.standin;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -11,12 +13,18 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.ragwortmoor.protocol.FrameLimits;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Channels that carry length-prefixed frames. */
 final class Frames {
+    private static final Logger LOG = LoggerFactory.getLogger(Frames.class);
+
     /** Two of the largest frames may wait to be written before a connection counts as stuck. */
     private static final int LARGEST_FRAMES_WAITING = 2;
 
@@ -68,6 +76,28 @@
                 .connect();
     }
 
+    /** Writes a frame; a failure closes the channel. */
+    static void write(Channel channel, byte[] frame) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame))
+                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    /** Closes a channel; its handler learns of the end. */
+    static void close(Channel channel) {
+        channel.close().addListener(done -> logFailure(done, "close"));
+    }
+
+    /** Runs a task on the event loop after a delay. */
+    static void after(EventLoop loop, long delay, TimeUnit unit, Runnable task) {
+        loop.schedule(task, delay, unit).addListener(done -> logFailure(done, "timer"));
+    }
+
+    private static void logFailure(Future<?> done, String what) {
+        if (!done.isSuccess() && !done.isCancelled()) {
+            LOG.error("{} failed", what, done.cause());
+        }
+    }
+
     /** Returns whether an address is an IP number or host and a port. */
     static boolean valid(String address) {
         return address.matches("[^:\\s]+:\\d{1,5}")
--- a/standin/src/main/java/org/ragwortmoor/standin/Replicator.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/Replicator.java
@@ -1,7 +1,6 @@
 package org.ragwortmoor.standin;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -66,7 +65,7 @@
         if (session == failed) {
             session.end();
             session = null;
-            server.loop.schedule(this::check, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            Frames.after(server.loop, RETRY_MILLIS, TimeUnit.MILLISECONDS, this::check);
         }
     }
 
@@ -105,7 +104,7 @@
             if (timeout != null) {
                 timeout.cancel(false);
             }
-            channel.close();
+            Frames.close(channel);
         }
 
         private boolean current() {
@@ -133,7 +132,7 @@
                                             .setWaitMicros(WAIT_MICROS)
                                             .setReplica(server.settings.endpoint()))
                             .build();
-            channel.writeAndFlush(Unpooled.wrappedBuffer(frame.toByteArray()));
+            Frames.write(channel, frame.toByteArray());
         }
 
         @Override
--- a/standin/src/main/java/org/ragwortmoor/standin/SlotQueue.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/SlotQueue.java
@@ -73,10 +73,11 @@
             end(statement, queuedMicros);
             return;
         }
-        loop.schedule(
-                () -> end(statement, queuedMicros),
+        Frames.after(
+                loop,
                 statement.serviceMicros(),
-                TimeUnit.MICROSECONDS);
+                TimeUnit.MICROSECONDS,
+                () -> end(statement, queuedMicros));
     }
 
     private void end(Statement statement, long queuedMicros) {
--- a/standin/src/main/java/org/ragwortmoor/standin/StandinConnection.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/StandinConnection.java
@@ -85,7 +85,7 @@
             return;
         }
         if (!admitted && server.faults.refuseConnections()) {
-            ctx.close();
+            Frames.close(ctx.channel());
             return;
         }
         admitted = true;
@@ -100,7 +100,7 @@
             return;
         }
         LOG.debug("connection to {} failed", ctx.channel().remoteAddress(), cause);
-        ctx.close();
+        Frames.close(ctx.channel());
     }
 
     private EndpointFrame switchFault(EndpointFrame frame) {
@@ -170,15 +170,16 @@
             }
         }
         phase = Phase.OPENING;
-        server.loop.schedule(
+        Frames.after(
+                server.loop,
+                server.settings.delays().connectionCostMicros(),
+                TimeUnit.MICROSECONDS,
                 () -> {
                     if (phase == Phase.OPENING) {
                         phase = Phase.OPEN;
                         report(exchange);
                     }
-                },
-                server.settings.delays().connectionCostMicros(),
-                TimeUnit.MICROSECONDS);
+                });
     }
 
     private Option<Refused> admission() {
--- a/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
@@ -89,8 +89,8 @@
         try {
             return new StandinServer(settings, group, journal, recovered, incarnation);
         } catch (IOException e) {
-            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             journal.close();
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
             throw e;
         }
     }
