--- a/app/src/main/java/org/ragwortmoor/transport/Channels.java
+++ b/app/src/main/java/org/ragwortmoor/transport/Channels.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
 import java.net.InetSocketAddress;
@@ -28,7 +29,9 @@
 /** Channels that carry length-prefixed frames. */
 final class Channels {
     private static final Logger LOG = LoggerFactory.getLogger(Channels.class);
-    private static final long CLOSE_SECONDS = 5;
+
+    /** Longest time to wait for channels or event loops to end, in seconds. */
+    static final long CLOSE_SECONDS = 5;
 
     private Channels() {}
 
@@ -98,17 +101,17 @@
         }
     }
 
-    /** Returns the socket address of an IP number and port, or nothing if it has no such form. */
+    /** Returns the socket address of an IPv4 number and port, or nothing if it has no such form. */
     static Option<InetSocketAddress> parse(String address) {
-        if (!address.matches("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}")) {
+        int colon = address.indexOf(':');
+        if (colon < 0
+                || !NetUtil.isValidIpV4Address(address.substring(0, colon))
+                || !address.substring(colon + 1).matches("\\d{1,5}")) {
             return Option.none();
         }
-        int colon = address.lastIndexOf(':');
         int port = Integer.parseInt(address.substring(colon + 1));
-        if (port > 65_535) {
-            return Option.none();
-        }
-        return Option.some(new InetSocketAddress(address.substring(0, colon), port));
+        return Option.when(
+                port <= 65_535, () -> new InetSocketAddress(address.substring(0, colon), port));
     }
 
     /** Ends the event loops, with their channels, and waits for it. */
--- a/app/src/main/java/org/ragwortmoor/transport/PeerChannel.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
 import io.netty.handler.codec.DecoderException;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -84,6 +85,10 @@
         }
     }
 
+    void joinGroup(ChannelGroup group) {
+        group.add(active);
+    }
+
     void close() {
         Channel current = active;
         if (current != null) {
@@ -145,7 +150,7 @@
         Either<ProtocolError, PeerEnvelope> message = PeerCodec.decode(bytes.nioBuffer());
         if (message.isLeft()) {
             metrics.error(label, "bad_frame");
-            LOG.warn("closing connection to {}: {}", label, message.getLeft());
+            LOG.debug("closing connection to {}: {}", label, message.getLeft());
             Channels.close(ctx.channel());
             return;
         }
@@ -166,7 +171,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof DecoderException) {
             metrics.error(label, "bad_frame");
-            LOG.warn("closing connection to {}: {}", label, cause.getMessage());
+            LOG.debug("closing connection to {}: {}", label, cause.getMessage());
         } else {
             metrics.error(label, "io_error");
         }
--- a/app/src/main/java/org/ragwortmoor/transport/PeerFrames.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerFrames.java
@@ -27,7 +27,7 @@
         ByteString frame = PeerCodec.encode(new PeerEnvelope(self, body)).toByteString();
         if (settings.frameLimits().check(frame.size()).isDefined()) {
             metrics.error(peer, "message_too_large");
-            LOG.error(
+            LOG.warn(
                     "message to {} dropped: {}",
                     peer,
                     settings.frameLimits().check(frame.size()).get());
--- a/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
@@ -5,13 +5,17 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerEnvelope;
 
@@ -24,6 +28,7 @@
     private final TransportMetrics metrics;
     private final PeerFrames frames;
     private final Channel socket;
+    private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Map<String, PeerChannel> newest = new ConcurrentHashMap<>();
 
     /**
@@ -104,6 +109,8 @@
 
     @Override
     public void close() {
+        socket.close().awaitUninterruptibly();
+        accepted.close().awaitUninterruptibly(Channels.CLOSE_SECONDS, TimeUnit.SECONDS);
         Channels.shutdown(loops);
     }
 
@@ -111,7 +118,9 @@
         private String sender = "";
 
         @Override
-        public void opened(PeerChannel channel) {}
+        public void opened(PeerChannel channel) {
+            channel.joinGroup(accepted);
+        }
 
         @Override
         public void received(PeerChannel channel, PeerEnvelope message) {
--- a/standin/src/main/java/org/ragwortmoor/standin/Frames.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/Frames.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -98,9 +99,14 @@
         }
     }
 
-    /** Returns whether an address is an IP number or host and a port. */
+    /**
+     * Returns whether an address is an IPv4 number and a port; names would need a blocking lookup.
+     */
     static boolean valid(String address) {
-        return address.matches("[^:\\s]+:\\d{1,5}")
-                && Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)) <= 65_535;
+        int colon = address.indexOf(':');
+        return colon > 0
+                && NetUtil.isValidIpV4Address(address.substring(0, colon))
+                && address.substring(colon + 1).matches("\\d{1,5}")
+                && Integer.parseInt(address.substring(colon + 1)) <= 65_535;
     }
 }
--- a/standin/src/main/java/org/ragwortmoor/standin/ServerState.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/ServerState.java
@@ -1,6 +1,9 @@
 package org.ragwortmoor.standin;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,6 +23,9 @@
     final SlotQueue slots;
     final Waiters waiters;
 
+    /** Open channels, which the server closes before its event loop ends. */
+    final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
     /** Statements and transactions that arrived after the grace of a leaving endpoint. */
     final AtomicLong lateWork = new AtomicLong();
 
--- a/standin/src/main/java/org/ragwortmoor/standin/StandinConnection.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/StandinConnection.java
@@ -59,6 +59,7 @@
         link = new FrameLink(ctx.channel(), server);
         statements = new StatementRunner(server, link);
         server.opened(this);
+        server.channels.add(ctx.channel());
     }
 
     @Override
@@ -148,7 +149,7 @@
 
     private void reject(long exchange, String reason) {
         server.badFrames.incrementAndGet();
-        LOG.info("closing connection of {}: {}", link.peer().address(), reason);
+        LOG.debug("closing connection of {}: {}", link.peer().address(), reason);
         phase = Phase.CLOSED;
         context.channel().config().setAutoRead(false);
         send(exchange, server.refuse(RefusalKind.BAD_REQUEST, reason));
@@ -207,7 +208,7 @@
         } else if (call instanceof EndpointCall.Promote promote) {
             reportUnless(exchange, server.database.promote(promote.term()));
         } else if (call instanceof EndpointCall.Follow follow) {
-            reportUnless(exchange, server.database.follow(follow.term(), follow.primaryAddress()));
+            follow(exchange, follow);
         } else if (call instanceof EndpointCall.Resolve resolve) {
             send(exchange, server.database.resolve(resolve.term(), resolve.identity()));
         } else if (call instanceof EndpointCall.Reset) {
@@ -223,6 +224,15 @@
         }
     }
 
+    private void follow(long exchange, EndpointCall.Follow call) {
+        if (Frames.valid(call.primaryAddress())) {
+            reportUnless(exchange, server.database.follow(call.term(), call.primaryAddress()));
+        } else {
+            String message = "not an IP number and port: " + call.primaryAddress();
+            send(exchange, server.refuse(RefusalKind.BAD_REQUEST, message));
+        }
+    }
+
     private void status(long exchange, EndpointCall.Status call) {
         Position awaited = call.awaited();
         server.waiters.await(
--- a/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
@@ -201,6 +201,7 @@
                     announcer.close();
                 });
         listener.close().awaitUninterruptibly();
+        state.channels.close().awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
         Future<?> ended = group.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS);
         if (!ended.awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS)) {
             LOG.warn("event loop of {} did not end in time", settings.endpoint());
