--- a/app/src/main/java/org/ragwortmoor/transport/PeerChannel.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerChannel.java
@@ -1,10 +1,12 @@
 package org.ragwortmoor.transport;
 
+import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
 import io.netty.handler.codec.DecoderException;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -83,16 +85,21 @@
         }
     }
 
+    void joinGroup(ChannelGroup group) {
+        group.add(active);
+    }
+
     void close() {
         Channel current = active;
         if (current != null) {
-            current.close();
+            Channels.close(current);
         }
     }
 
     void probe() {
         if (active != null && active.isWritable()) {
-            active.writeAndFlush(Unpooled.EMPTY_BUFFER);
+            Channels.write(active, Unpooled.EMPTY_BUFFER);
+            active.flush();
         }
     }
 
@@ -107,9 +114,9 @@
             if (message.isEmpty()) {
                 break;
             }
-            byte[] frame = message.get().frame();
-            metrics.frame(label, TransportMetrics.OUT, FrameLimits.LENGTH_BYTES + frame.length);
-            current.write(Unpooled.wrappedBuffer(frame));
+            ByteString frame = message.get().frame();
+            metrics.frame(label, TransportMetrics.OUT, FrameLimits.LENGTH_BYTES + frame.size());
+            Channels.write(current, Unpooled.wrappedBuffer(frame.asReadOnlyByteBuffer()));
             wrote = true;
         }
         if (wrote) {
@@ -143,8 +150,8 @@
         Either<ProtocolError, PeerEnvelope> message = PeerCodec.decode(bytes.nioBuffer());
         if (message.isLeft()) {
             metrics.error(label, "bad_frame");
-            LOG.warn("closing connection to {}: {}", label, message.getLeft());
-            ctx.close();
+            LOG.debug("closing connection to {}: {}", label, message.getLeft());
+            Channels.close(ctx.channel());
             return;
         }
         if (returnsProbes) {
@@ -164,10 +171,10 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof DecoderException) {
             metrics.error(label, "bad_frame");
-            LOG.warn("closing connection to {}: {}", label, cause.getMessage());
+            LOG.debug("closing connection to {}: {}", label, cause.getMessage());
         } else {
             metrics.error(label, "io_error");
         }
-        ctx.close();
+        Channels.close(ctx.channel());
     }
 }
--- a/standin/src/main/java/org/ragwortmoor/standin/StandinConnection.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/StandinConnection.java
@@ -59,6 +59,7 @@
         link = new FrameLink(ctx.channel(), server);
         statements = new StatementRunner(server, link);
         server.opened(this);
+        server.channels.add(ctx.channel());
     }
 
     @Override
@@ -85,7 +86,7 @@
             return;
         }
         if (!admitted && server.faults.refuseConnections()) {
-            ctx.close();
+            Frames.close(ctx.channel());
             return;
         }
         admitted = true;
@@ -100,7 +101,7 @@
             return;
         }
         LOG.debug("connection to {} failed", ctx.channel().remoteAddress(), cause);
-        ctx.close();
+        Frames.close(ctx.channel());
     }
 
     private EndpointFrame switchFault(EndpointFrame frame) {
@@ -148,7 +149,7 @@
 
     private void reject(long exchange, String reason) {
         server.badFrames.incrementAndGet();
-        LOG.info("closing connection of {}: {}", link.peer().address(), reason);
+        LOG.debug("closing connection of {}: {}", link.peer().address(), reason);
         phase = Phase.CLOSED;
         context.channel().config().setAutoRead(false);
         send(exchange, server.refuse(RefusalKind.BAD_REQUEST, reason));
@@ -170,15 +171,16 @@
             }
         }
         phase = Phase.OPENING;
-        server.loop.schedule(
+        Frames.after(
+                server.loop,
+                server.settings.delays().connectionCostMicros(),
+                TimeUnit.MICROSECONDS,
                 () -> {
                     if (phase == Phase.OPENING) {
                         phase = Phase.OPEN;
                         report(exchange);
                     }
-                },
-                server.settings.delays().connectionCostMicros(),
-                TimeUnit.MICROSECONDS);
+                });
     }
 
     private Option<Refused> admission() {
@@ -206,7 +208,7 @@
         } else if (call instanceof EndpointCall.Promote promote) {
             reportUnless(exchange, server.database.promote(promote.term()));
         } else if (call instanceof EndpointCall.Follow follow) {
-            reportUnless(exchange, server.database.follow(follow.term(), follow.primaryAddress()));
+            follow(exchange, follow);
         } else if (call instanceof EndpointCall.Resolve resolve) {
             send(exchange, server.database.resolve(resolve.term(), resolve.identity()));
         } else if (call instanceof EndpointCall.Reset) {
@@ -222,6 +224,15 @@
         }
     }
 
+    private void follow(long exchange, EndpointCall.Follow call) {
+        if (Frames.valid(call.primaryAddress())) {
+            reportUnless(exchange, server.database.follow(call.term(), call.primaryAddress()));
+        } else {
+            String message = "not an IP number and port: " + call.primaryAddress();
+            send(exchange, server.refuse(RefusalKind.BAD_REQUEST, message));
+        }
+    }
+
     private void status(long exchange, EndpointCall.Status call) {
         Position awaited = call.awaited();
         server.waiters.await(
--- a/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
@@ -89,8 +89,8 @@
         try {
             return new StandinServer(settings, group, journal, recovered, incarnation);
         } catch (IOException e) {
-            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             journal.close();
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
             throw e;
         }
     }
@@ -201,6 +201,7 @@
                     announcer.close();
                 });
         listener.close().awaitUninterruptibly();
+        state.channels.close().awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
         Future<?> ended = group.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS);
         if (!ended.awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS)) {
             LOG.warn("event loop of {} did not end in time", settings.endpoint());
