Acknowledge announcements of endpoints

An endpoint that gets no acknowledgement takes the connection for silent and replaces it after six announcements; without this every connection to a control process was replaced every 3 s.

--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
@@ -15,6 +15,7 @@
 import org.ragwortmoor.coordination.consensus.ConsensusMessage;
 import org.ragwortmoor.coordination.consensus.Refusal;
 import org.ragwortmoor.coordination.consensus.ReplicatedLog;
+import org.ragwortmoor.coordination.control.Announcement;
 import org.ragwortmoor.coordination.control.ControlAction;
 import org.ragwortmoor.coordination.control.ControlCommand;
 import org.ragwortmoor.coordination.control.ControlEvent;
@@ -24,6 +25,7 @@
 import org.ragwortmoor.protocol.ConsensusCodec;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerEnvelope;
+import org.ragwortmoor.state.EndpointInfo;
 import org.ragwortmoor.state.log.Member;
 import org.ragwortmoor.state.log.MemberId;
 import org.ragwortmoor.transport.PeerListener;
@@ -114,6 +116,7 @@
                         machine.handle(new ControlEvent.ReportReceived(report.report()));
                     });
         } else if (body instanceof PeerBody.Announced announced) {
+            acknowledge(announced.announcement(), reply);
             run(
                     () ->
                             machine.handle(
@@ -126,6 +129,14 @@
         }
     }
 
+    /** An endpoint without acknowledgements takes its connection for silent and replaces it. */
+    private static void acknowledge(Announcement announcement, Reply reply) {
+        EndpointInfo info = announcement.info();
+        reply.send(
+                new PeerBody.AnnouncementAck(
+                        announcement.group(), info.endpoint(), info.incarnation()));
+    }
+
     /** Hands an operator's request to the decisions; the answer follows. */
     void request(OperatorRequest request, Consumer<OperatorAnswer> answer) {
         run(
@@ -147,8 +158,7 @@
         consensus(new ConsensusEvent.Tick());
         endpoints.expire(System.nanoTime());
         machine.handle(new ControlEvent.Tick(System.currentTimeMillis()));
-        tokenKey.next(
-                        machine.state(), ready, System.currentTimeMillis(), System.nanoTime())
+        tokenKey.next(machine.state(), ready, System.currentTimeMillis(), System.nanoTime())
                 .forEach(this::propose);
         drain();
     }
--- a/app/src/main/java/org/ragwortmoor/daemon/TokenKeyBootstrap.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/TokenKeyBootstrap.java
@@ -11,8 +11,8 @@
 /**
  * Lets the first leader create the key that signs session tokens. Confined to the control loop.
  *
- * <p>A proposal can be refused, for example while a majority does not answer, so it is repeated until
- * the state has a key. The operation id is the same each time, so that one key is added.
+ * <p>A proposal can be refused, for example while a majority does not answer, so it is repeated
+ * until the state has a key. The operation id is the same each time, so that one key is added.
  */
 final class TokenKeyBootstrap {
     private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
