Check engine promises with random fault histories

Cause: the promises to callers hold only if they hold under faults. Considered: unit tests of single paths only; they miss interleavings. They found one fault: an age read that waited for its confirmation on the primary was answered although it was older than accepted; it is now checked against its time of sending.

--- a/core/src/main/java/org/ragwortmoor/coordination/engine/ConnectionPool.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/ConnectionPool.java
@@ -18,6 +18,7 @@
     private final Map<String, Backoff> backoffs = new LinkedHashMap<>();
     private long lastConnection;
     private int rotation;
+    private boolean touched;
 
     ConnectionPool(EngineContext ctx) {
         this.ctx = ctx;
@@ -28,8 +29,17 @@
         private long until = Long.MIN_VALUE;
     }
 
+    /** Requests a look at all connections, because one of them or a share has changed. */
+    void touch() {
+        touched = true;
+    }
+
     /** Opens missing connections, closes surplus ones and replaces silent ones. */
     void maintain() {
+        if (!touched) {
+            return;
+        }
+        touched = false;
         for (Member member : List.copyOf(ctx.members().values())) {
             replaceSilent(member);
             closeSurplus(member);
@@ -126,7 +136,7 @@
         long wait = longest / 2 + (long) (ctx.random().nextDouble() * longest / 2);
         backoff.failures++;
         backoff.until = ctx.now() + wait;
-        ctx.timers().at(backoff.until, () -> {});
+        ctx.timers().at(backoff.until, this::touch);
     }
 
     private Backoff backoff(Member member) {
@@ -137,6 +147,7 @@
         if (connection.state() == State.CLOSED) {
             return;
         }
+        touch();
         if (connection.unansweredPings() * ctx.settings().pingIntervalNanos()
                 <= 2 * ctx.settings().silentAfterNanos()) {
             connection.pinged(ctx.now());
@@ -222,6 +233,7 @@
             return;
         }
         connection.state(State.CLOSED);
+        touch();
         connections.remove(connection.id());
         ctx.act(new EngineAction.CloseConnection(connection.id()));
         connection.takeAll().forEach(exchange -> exchange.handler().lost(reason));
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/GroupEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/GroupEngine.java
@@ -39,31 +39,24 @@
      */
     public List<EngineAction> handle(EngineEvent event, long now) {
         ctx.now(now);
-        boolean maintain = dispatch(event);
-        boolean due = ctx.timers().next() <= ctx.now();
+        dispatch(event);
         ctx.timers().runDue(ctx.now());
-        if (maintain || due) {
-            ctx.transactions().dropClosed();
-            ctx.pool().maintain();
-        }
+        ctx.pool().maintain();
+        ctx.transactions().dropClosed();
         ctx.admission().pump();
         if (ctx.stopping()) {
+            ctx.pool().touch();
             ctx.pool().maintain();
         }
         return ctx.takeActions();
     }
 
-    /** Handles one event and returns whether the connections have to be looked after. */
-    private boolean dispatch(EngineEvent event) {
+    private void dispatch(EngineEvent event) {
         if (event instanceof EngineEvent.AnswerReceived answer) {
             ctx.pool().answered(answer.connection(), answer.exchange(), answer.answer());
-            return false;
-        }
-        if (event instanceof EngineEvent.RequestArrived arrived) {
+        } else if (event instanceof EngineEvent.RequestArrived arrived) {
             arrived(arrived.request());
-            return false;
-        }
-        if (event instanceof EngineEvent.CallerLost lost) {
+        } else if (event instanceof EngineEvent.CallerLost lost) {
             callerLost(lost.session());
         } else if (event instanceof EngineEvent.ConnectionOpened opened) {
             ctx.pool().opened(opened.connection());
@@ -78,7 +71,6 @@
         } else if (event instanceof EngineEvent.StopRequested) {
             ctx.stop();
         }
-        return true;
     }
 
     private void arrived(CallerRequest request) {
@@ -138,6 +130,7 @@
         boolean newTerm = view.term() > ctx.view().term();
         described = true;
         ctx.describe(view);
+        ctx.pool().touch();
         ctx.statuses().retainMembers();
         ctx.statuses().start();
         if (newTerm) {
@@ -157,7 +150,8 @@
         Member member = ctx.members().get(lease.endpoint());
         if (member != null) {
             member.share().lease(lease);
-            ctx.timers().at(lease.deadline(), () -> {});
+            ctx.pool().touch();
+            ctx.timers().at(lease.deadline(), ctx.pool()::touch);
         }
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/ReadTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/ReadTask.java
@@ -76,6 +76,7 @@
     void run(Member member, PooledConnection connection) {
         boolean fresh = read.level() != ReadLevel.SESSION && ctx().isPrimary(member);
         EndpointCall call = new EndpointCall.Read(read.operations(), read.serviceMicros());
+        long sentAt = ctx().now();
         long[] sequence = new long[1];
         sequence[0] =
                 Statement.send(
@@ -91,7 +92,7 @@
                                     return;
                                 }
                                 if (answer instanceof EndpointAnswer.Result result) {
-                                    confirm(result, member, fresh, sequence[0]);
+                                    confirm(result, member, fresh, sequence[0], sentAt);
                                 } else if (answer instanceof EndpointAnswer.Refused refused) {
                                     refused(refused);
                                 }
@@ -108,9 +109,13 @@
     }
 
     private void confirm(
-            EndpointAnswer.Result result, Member member, boolean fresh, long sequence) {
+            EndpointAnswer.Result result,
+            Member member,
+            boolean fresh,
+            long sequence,
+            long sentAt) {
         Confirmations.Listener listener =
-                listener(() -> check(result, member, fresh), () -> again(member));
+                listener(() -> check(result, member, fresh, sentAt), () -> again(member));
         if (fresh) {
             ctx().confirmations().awaitFreshMajority(result.position(), member, sequence, listener);
         } else {
@@ -119,7 +124,7 @@
     }
 
     /** Checks the answer itself: the endpoint may have changed since it was chosen. */
-    private void check(EndpointAnswer.Result result, Member member, boolean fresh) {
+    private void check(EndpointAnswer.Result result, Member member, boolean fresh, long sentAt) {
         if (answered()) {
             return;
         }
@@ -133,8 +138,14 @@
             again(member);
             return;
         }
-        if (!fresh && read.level() == ReadLevel.AGE) {
-            long complete = ctx().confirmations().ages().completeUpTo(position, tracker.history());
+        if (read.level() == ReadLevel.AGE) {
+            // A confirmed read on the primary shows everything up to the time it was sent.
+            long complete =
+                    fresh
+                            ? sentAt
+                            : ctx().confirmations()
+                                    .ages()
+                                    .completeUpTo(position, tracker.history());
             if (complete == Long.MIN_VALUE || ctx().now() - complete > read.maxAgeNanos()) {
                 again(member);
                 return;
--- a/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
@@ -27,17 +27,27 @@
     /** Endpoints that no message reaches or leaves. */
     final Set<String> cut = new HashSet<>();
 
+    /** Endpoints that proxies reach, but neither the other endpoints nor the control group. */
+    final Set<String> isolated = new HashSet<>();
+
     /** Replicas that do not fetch. */
     final Set<String> stalled = new HashSet<>();
 
     /** Probability that an answer is delivered late and a second time. */
     double lateAnswers;
 
-    /** Probability that an answer is additionally delivered to another connection. */
+    /** Probability that an answer also arrives on another connection and for another exchange. */
     double crossedAnswers;
 
     final long lagNanos;
     private final int connectionLimit;
+
+    /** Longest delay until a proxy learns of a new primary. */
+    long viewDelayNanos = 20 * MILLI;
+
+    /** Identifier of the last caller request. */
+    long lastRequest;
+
     private long term;
     private FakeEndpoint primary;
 
@@ -58,9 +68,14 @@
         private final Map<Long, Consumer<CallerAnswer>> callers = new HashMap<>();
         private final Map<Long, FakeEndpoint> links = new HashMap<>();
         private final Set<Long> silent = new HashSet<>();
+
+        /** Endpoint of each connection that is open or being opened. */
+        private final Map<Long, String> held = new HashMap<>();
+
         private final int number = proxies.size();
         private long wakeAt = Long.MAX_VALUE;
         boolean dead;
+        private int share = 1;
 
         Proxy(EngineSettings settings, int share, int longPermits) {
             engine = new GroupEngine(settings, "p" + number, "g", new Random(random.nextLong()));
@@ -69,6 +84,7 @@
         }
 
         private void lease(int share, int longPermits) {
+            this.share = share;
             for (FakeEndpoint e : endpoints) {
                 long end = time.now() + 3000 * MILLI;
                 int permits = longPermits;
@@ -96,6 +112,10 @@
             }
         }
 
+        int unanswered() {
+            return callers.size();
+        }
+
         void call(CallerRequest request, Consumer<CallerAnswer> answer) {
             callers.put(request.id(), answer);
             handle(new EngineEvent.RequestArrived(request));
@@ -127,8 +147,14 @@
                 }
                 caller.accept(reply.answer());
             } else if (action instanceof EngineAction.OpenConnection open) {
+                held.put(open.connection(), open.endpoint());
+                long own = held.values().stream().filter(open.endpoint()::equals).count();
+                if (own > share) {
+                    throw new AssertionError(own + " connections, the share is " + share);
+                }
                 time.after(10 * MILLI, () -> connect(open));
             } else if (action instanceof EngineAction.CloseConnection close) {
+                held.remove(close.connection());
                 FakeEndpoint e = links.remove(close.connection());
                 if (e != null && !cut.contains(e.name)) {
                     time.after(MILLI, () -> e.disconnected(global(close.connection())));
@@ -141,10 +167,11 @@
 
         private void connect(EngineAction.OpenConnection open) {
             FakeEndpoint e = find(open.endpoint());
-            if (cut.contains(e.name)) {
+            if (cut.contains(e.name) || !held.containsKey(open.connection())) {
                 return;
             }
             if (e.down || e.connections.size() >= connectionLimit) {
+                held.remove(open.connection());
                 handle(new EngineEvent.ConnectionFailed(e.name, open.connection(), "refused"));
                 return;
             }
@@ -160,6 +187,7 @@
             }
             if (e.down || !e.connections.contains(global(send.connection()))) {
                 links.remove(send.connection());
+                held.remove(send.connection());
                 handle(new EngineEvent.ConnectionLost(send.connection(), "reset by peer"));
                 return;
             }
@@ -176,7 +204,7 @@
                 arrive(delay + 300 * MILLI, send.connection(), send.exchange(), answer);
             }
             if (random.nextDouble() < crossedAnswers) {
-                arrive(delay, send.connection(), send.exchange() + 1, answer);
+                arrive(delay, send.connection(), send.exchange() + 1_000_000, answer);
                 arrive(delay, send.connection() + 1, send.exchange(), answer);
             }
         }
@@ -231,7 +259,7 @@
         proxies.forEach(
                 p ->
                         time.after(
-                                random.nextInt(20_000_000),
+                                (long) (random.nextDouble() * viewDelayNanos),
                                 () -> p.handle(new EngineEvent.GroupChanged(view()))));
         return true;
     }
@@ -243,7 +271,7 @@
     }
 
     boolean reachable(FakeEndpoint e) {
-        return !e.down && !cut.contains(e.name);
+        return !e.down && !cut.contains(e.name) && !isolated.contains(e.name);
     }
 
     private void replicate() {
@@ -258,6 +286,7 @@
     /** Repairs every fault and lets the replicas catch up. */
     void heal() {
         cut.clear();
+        isolated.clear();
         stalled.clear();
         endpoints.forEach(e -> e.down = false);
     }
