Choose endpoints by expected wait and refuse by expected confirmation

Cause: writes that started just before their deadlines ended as unknown, and proxies did not see the queueing that others caused. Considered: power of two by in-flight count only; it ignores other proxies.

--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
@@ -66,7 +66,7 @@
             return;
         }
         long start = ctx.now() + expectedWait(task);
-        long late = start + classifier.expectedNanos(task.label()) - task.request().deadline();
+        long late = start + expectedNanos(task) - task.request().deadline();
         if (settings.classes() && late > 0) {
             refuseOverloaded(task, late / MILLI + 1, "the request would start too late");
             return;
@@ -128,7 +128,7 @@
             queue.add(task);
         }
         long remaining = task.request().deadline() - ctx.now();
-        long lead = Math.max(REFUSAL_LEAD_NANOS, classifier.expectedNanos(task.label()));
+        long lead = Math.max(REFUSAL_LEAD_NANOS, expectedNanos(task));
         ctx.after(remaining - Math.min(remaining / 2, lead), () -> refuseWaiting(task));
     }
 
@@ -211,8 +211,15 @@
 
     /** Returns whether a statement of this length would end after the request's deadline. */
     boolean tooLate(Task task) {
-        return settings.classes()
-                && ctx.now() + classifier.expectedNanos(task.label()) > task.request().deadline();
+        return settings.classes() && ctx.now() + expectedNanos(task) > task.request().deadline();
+    }
+
+    /** Returns the expected time from the start of a request to its answer. */
+    private long expectedNanos(Task task) {
+        Member primary = ctx.primary();
+        boolean onPrimary = primary != null && task.lane() != Lane.REPLICA;
+        double endpoint = onPrimary ? primary.roundTripNanos() + 2 * primary.queueingNanos() : 0;
+        return classifier.expectedNanos(task.label()) + (long) endpoint + task.confirmationNanos();
     }
 
     void refuseTooLate(Task task) {
@@ -228,8 +235,11 @@
                 ctx.timers().at(limiter.pausedUntil(), () -> {});
             }
         }
-        long service = occupied - queuedNanos - (long) member.roundTripNanos();
-        classifier.served(label, Math.max(0, service));
+        long service = Math.max(0, occupied - queuedNanos - (long) member.roundTripNanos());
+        classifier.served(label, service);
+        if (workClass == WorkClass.SHORT) {
+            member.served(queuedNanos, service);
+        }
         double average = occupied(workClass);
         occupiedNanos.put(
                 workClass, average == 0 ? occupied : average + SMOOTHING * (occupied - average));
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Confirmations.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Confirmations.java
@@ -8,11 +8,14 @@
 
 /** Requests that wait until a position is held by a majority or contained in a replica. */
 final class Confirmations {
+    private static final double SMOOTHING = 0.1;
+
     private final EngineContext ctx;
     private final ConfirmationTracker tracker = new ConfirmationTracker();
     private final AgeTracker ages;
     private List<Wait> waits = new ArrayList<>();
     private boolean settling;
+    private double confirmNanos;
 
     Confirmations(EngineContext ctx) {
         this.ctx = ctx;
@@ -60,6 +63,16 @@
         return ages;
     }
 
+    /** Learns how long a write waited for its confirmation. */
+    void confirmedAfter(long nanos) {
+        confirmNanos += SMOOTHING * (nanos - confirmNanos);
+    }
+
+    /** Returns a time within which most writes are confirmed. */
+    long expectedNanos() {
+        return (long) (2 * confirmNanos);
+    }
+
     void forget(String endpoint) {
         tracker.forget(endpoint);
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Member.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Member.java
@@ -19,6 +19,8 @@
     private int longRunning;
     private double roundTripNanos;
     private double lagNanos;
+    private double serviceNanos;
+    private double queueingNanos;
 
     Member(EndpointInfo info, InFlightLimiter limiter, long now) {
         this.info = info;
@@ -73,9 +75,27 @@
         if (status == null || sequence > statusSequence) {
             status = next;
             statusSequence = sequence;
+            // Keeps the estimate current for an endpoint that gets no statements.
+            queueing(next.queued() * serviceNanos / Math.max(1, info.slots()));
         }
     }
 
+    /** Learns from an executed short statement. */
+    void served(long queuedNanos, long executionNanos) {
+        serviceNanos =
+                serviceNanos == 0 ? executionNanos : mix(serviceNanos, (double) executionNanos);
+        queueing((double) queuedNanos);
+    }
+
+    private void queueing(double nanos) {
+        queueingNanos = mix(queueingNanos, nanos);
+    }
+
+    /** Returns the usual time that a short statement waits in the endpoint. */
+    double queueingNanos() {
+        return queueingNanos;
+    }
+
     Position last() {
         return status == null ? Position.ZERO : status.last();
     }
@@ -137,8 +157,9 @@
         return limiter.admits(shortRunning, now);
     }
 
-    /** Returns the load by which candidates are compared. */
+    /** Returns the expected wait in the endpoint, by which candidates are compared. */
     double load() {
-        return (shortRunning + longRunning + 1) / Math.max(0.1, limiter.limit());
+        int slots = Math.max(1, info.slots() - longRunning);
+        return queueingNanos + shortRunning * serviceNanos / slots;
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
@@ -46,6 +46,13 @@
         answer(new CallerAnswer.NotRun(id(), kind, message, retryAfterMillis));
     }
 
+    /**
+     * Returns the expected time from the endpoint's answer to the confirmation, if it is needed.
+     */
+    long confirmationNanos() {
+        return 0;
+    }
+
     /** Reacts to a new term or primary. */
     void groupChanged() {
         // Most requests learn of it by the refusal of the old primary.
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/WriteTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/WriteTask.java
@@ -82,11 +82,12 @@
     }
 
     private void confirm(EndpointAnswer.Result result, Member member) {
+        long answeredAt = ctx().now();
         ctx().confirmations()
                 .awaitMajority(
                         result.position(),
                         ReadTask.listener(
-                                () -> confirmed(result, member),
+                                () -> confirmed(result, member, answeredAt),
                                 () -> {
                                     if (!answered()) {
                                         resolve();
@@ -94,8 +95,9 @@
                                 }));
     }
 
-    private void confirmed(EndpointAnswer.Result result, Member member) {
+    private void confirmed(EndpointAnswer.Result result, Member member, long answeredAt) {
         if (!answered()) {
+            ctx().confirmations().confirmedAfter(ctx().now() - answeredAt);
             ctx().count(Counter.WRITES_CONFIRMED);
             done(result.records(), result.position(), member, result.duplicate(), "");
         }
@@ -170,6 +172,11 @@
         }
     }
 
+    @Override
+    long confirmationNanos() {
+        return ctx().confirmations().expectedNanos();
+    }
+
     /** A statement that the old primary has not answered may never be; the new one knows. */
     @Override
     void groupChanged() {
