Test the engine's trackers, policies and contracts

Cause: single rules need tests that name the failure they guard against. Considered: covering them by random histories only, which hides the reason. Cancelled timers are removed, so their number is bounded by the waiting requests.

--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
@@ -129,7 +129,8 @@
         }
         long remaining = task.request().deadline() - ctx.now();
         long lead = Math.max(REFUSAL_LEAD_NANOS, expectedNanos(task));
-        ctx.after(remaining - Math.min(remaining / 2, lead), () -> refuseWaiting(task));
+        long wait = remaining - Math.min(remaining / 2, lead);
+        task.refusalTimer(ctx.timers().at(ctx.now() + wait, () -> refuseWaiting(task)));
     }
 
     /**
@@ -155,6 +156,7 @@
 
     private void left(Task task) {
         task.queue(null);
+        task.refusalTimer(null);
         queued--;
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/LabelClassifier.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/LabelClassifier.java
@@ -14,7 +14,7 @@
     private static final double QUANTILE = 0.95;
 
     /** Relative step of the percentile estimate per sample. */
-    private static final double STEP = 0.05;
+    private static final double STEP = 0.1;
 
     private final long longAfterNanos;
     private final Map<String, Estimate> estimates;
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
@@ -13,6 +13,7 @@
     private Lane lane;
     private WorkClass workClass = WorkClass.SHORT;
     private WorkQueue queue;
+    private Timers.Timer refusalTimer;
     private long queuedAt;
     private boolean answered;
     private boolean callerLost;
@@ -112,6 +113,14 @@
         queue = next;
     }
 
+    /** Sets the timer that refuses the request while it waits; null cancels it. */
+    void refusalTimer(Timers.Timer next) {
+        if (refusalTimer != null) {
+            refusalTimer.cancel();
+        }
+        refusalTimer = next;
+    }
+
     long queuedAt() {
         return queuedAt;
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Timers.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Timers.java
@@ -5,10 +5,15 @@
 /** Actions that fall due at a given time; equal times run in the order of their registration. */
 final class Timers {
     private final PriorityQueue<Timer> queue = new PriorityQueue<>();
+
+    /** Cancelled timers are removed once they are many and more than the live ones. */
+    private static final int MANY_CANCELLED = 1_000;
+
     private long sequence;
+    private int cancelled;
 
     /** A registered action. */
-    static final class Timer implements Comparable<Timer> {
+    final class Timer implements Comparable<Timer> {
         private final long at;
         private final long sequence;
         private Runnable action;
@@ -21,7 +26,11 @@
 
         /** Prevents the action from running. */
         void cancel() {
-            action = null;
+            if (action != null) {
+                action = null;
+                cancelled++;
+                compact();
+            }
         }
 
         @Override
@@ -37,10 +46,21 @@
         return timer;
     }
 
+    private void compact() {
+        if (cancelled > MANY_CANCELLED && cancelled > queue.size() / 2) {
+            queue.removeIf(timer -> timer.action == null);
+            cancelled = 0;
+        }
+    }
+
     void runDue(long now) {
         while (!queue.isEmpty() && queue.peek().at <= now) {
-            Runnable action = queue.poll().action;
-            if (action != null) {
+            Timer timer = queue.poll();
+            Runnable action = timer.action;
+            timer.action = null;
+            if (action == null) {
+                cancelled--;
+            } else {
                 action.run();
             }
         }
@@ -50,6 +70,7 @@
     long next() {
         while (!queue.isEmpty() && queue.peek().action == null) {
             queue.poll();
+            cancelled--;
         }
         return queue.isEmpty() ? Long.MAX_VALUE : queue.peek().at;
     }
--- a/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
@@ -105,4 +105,144 @@
         assertThat(proxy.engine.stopped()).isTrue();
         assertThat(group.primary().log).hasSize(2);
     }
+
+    private CallerAnswer.Done begin() {
+        return (CallerAnswer.Done)
+                call(
+                        new CallerRequest.Begin(
+                                ++lastId, "s", group.time.now() + 5000 * MILLI, deadline()));
+    }
+
+    private CallerAnswer commit(String transaction, String session, String key) {
+        return call(
+                new CallerRequest.Commit(
+                        ++lastId, session, transaction, new WriteIdentity(key, 1), deadline()));
+    }
+
+    private CallerAnswer add(String transaction, String session) {
+        return call(
+                new CallerRequest.InTransaction(
+                        ++lastId,
+                        session,
+                        transaction,
+                        List.of(new Operation.Increment("k", 1), new Operation.Get("k")),
+                        1000,
+                        deadline()));
+    }
+
+    private static ErrorKind refusal(CallerAnswer answer) {
+        assertThat(answer).isInstanceOf(CallerAnswer.NotRun.class);
+        return ((CallerAnswer.NotRun) answer).kind();
+    }
+
+    /** Guards against transactions that reach another session or outlive their end. */
+    @Test
+    void transactionBelongsToItsSessionAndEndsOnce() {
+        String transaction = begin().transaction();
+        assertThat(refusal(add(transaction, "other"))).isEqualTo(ErrorKind.FOREIGN_TRANSACTION);
+        CallerAnswer.Done read = (CallerAnswer.Done) add(transaction, "s");
+        assertThat(read.records().get(0).value().get()).isEqualTo("1");
+        assertThat(commit(transaction, "s", "t1")).isInstanceOf(CallerAnswer.Done.class);
+        assertThat(refusal(add(transaction, "s"))).isEqualTo(ErrorKind.UNKNOWN_TRANSACTION);
+        // A repeated commit gets the recorded outcome.
+        assertThat(commit(transaction, "s", "t1")).isInstanceOf(CallerAnswer.Done.class);
+    }
+
+    @Test
+    void conflictingCommitIsNotRun() {
+        String transaction = begin().transaction();
+        add(transaction, "s");
+        call(increment("k", "w1"));
+        assertThat(refusal(commit(transaction, "s", "t1"))).isEqualTo(ErrorKind.CONFLICT);
+        assertThat(group.primary().log).hasSize(2);
+    }
+
+    /** Guards against transactions left open on a connection that is lent again. */
+    @Test
+    void transactionIsRolledBackWithItsCallerAndAtItsDeadline() {
+        String first = begin().transaction();
+        add(first, "s");
+        proxy.handle(new EngineEvent.CallerLost("s"));
+        assertThat(refusal(commit(first, "s", "t1"))).isEqualTo(ErrorKind.UNKNOWN_TRANSACTION);
+        String second = begin().transaction();
+        group.time.runUntil(group.time.now() + 6000 * MILLI);
+        assertThat(refusal(commit(second, "s", "t2"))).isEqualTo(ErrorKind.UNKNOWN_TRANSACTION);
+        assertThat(proxy.engine.dump().transactions()).isZero();
+        assertThat(proxy.engine.dump().counters()).containsEntry(Counter.RESETS, 2L);
+    }
+
+    /** Guards against a cancelled key that can never be used again. */
+    @Test
+    void cancelledWriteThatIsSentAnewIsExecuted() {
+        group.time.runUntil(300 * MILLI);
+        WriteIdentity identity = new WriteIdentity("w1", 1);
+        CallerAnswer resolved =
+                call(new CallerRequest.Resolve(++lastId, "s", identity, deadline()));
+        assertThat(refusal(resolved)).isEqualTo(ErrorKind.CANCELLED);
+        assertThat(call(increment("k", "w1"))).isInstanceOf(CallerAnswer.Done.class);
+        assertThat(group.primary().log.get(2).identity()).isEqualTo(new WriteIdentity("w1", 2));
+    }
+
+    /** Guards against taking a slow statement for a silent connection, and the reverse. */
+    @Test
+    void silentConnectionIsReplacedAndSlowStatementIsNot() {
+        group.time.runUntil(300 * MILLI);
+        List<CallerAnswer> slow = new ArrayList<>();
+        CallerRequest.Read read = get("k", ReadLevel.STRONG, Position.ZERO);
+        proxy.call(
+                new CallerRequest.Read(
+                        read.id(),
+                        "s",
+                        read.operations(),
+                        ReadLevel.STRONG,
+                        0,
+                        Position.ZERO,
+                        "slow",
+                        3_000_000,
+                        group.time.now() + 5000 * MILLI),
+                slow::add);
+        group.time.runUntil(group.time.now() + 4000 * MILLI);
+        assertThat(slow).hasOnlyElementsOfType(CallerAnswer.Done.class).hasSize(1);
+        assertThat(proxy.engine.dump().counters()).doesNotContainKey(Counter.CONNECTIONS_SILENT);
+        proxy.silence();
+        group.time.runUntil(group.time.now() + 3000 * MILLI);
+        assertThat(proxy.engine.dump().counters()).containsEntry(Counter.CONNECTIONS_SILENT, 1L);
+        assertThat(proxy.engine.dump().endpoints()).allMatch(e -> e.idle() == 4);
+    }
+
+    @Test
+    void leavingEndpointGetsNoNewWork() {
+        group.time.runUntil(300 * MILLI);
+        group.find("e1").leaving = true;
+        group.time.runUntil(group.time.now() + 300 * MILLI);
+        for (int i = 0; i < 10; i++) {
+            CallerAnswer.Done read =
+                    (CallerAnswer.Done) call(get("k", ReadLevel.SESSION, Position.ZERO));
+            assertThat(read.endpoint()).isEqualTo("e2");
+        }
+    }
+
+    /** Guards against serving a position of another history by its index. */
+    @Test
+    void discardedPositionIsLost() {
+        group.time.runUntil(300 * MILLI);
+        call(increment("k", "w1"));
+        group.failOver();
+        call(increment("k", "w2"));
+        assertThat(refusal(call(get("k", ReadLevel.SESSION, new Position(1, 3)))))
+                .isEqualTo(ErrorKind.POSITION_LOST);
+    }
+
+    @Test
+    void requestsThatNeedAMajorityAreRefusedAtOnceWhenCutOff() {
+        group.time.runUntil(300 * MILLI);
+        group.cut.add("e0");
+        group.cut.add("e1");
+        group.time.runUntil(2000 * MILLI);
+        assertThat(refusal(call(increment("k", "w1")))).isEqualTo(ErrorKind.NO_PRIMARY);
+        assertThat(refusal(call(get("k", ReadLevel.AGE, Position.ZERO))))
+                .isEqualTo(ErrorKind.TOO_OLD);
+        assertThat(call(get("k", ReadLevel.SESSION, Position.ZERO)))
+                .isInstanceOf(CallerAnswer.Done.class);
+    }
 }
