Deliver late originals in the fake group and test unproven answers

Cause: trial mutations (an unconfirmed cancellation answered as not run, old status answers used for strong reads) passed all tests. Result: two scripted tests, and calls on silent connections arrive late.

--- a/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
@@ -75,6 +75,10 @@
         private final int number = proxies.size();
         private long wakeAt = Long.MAX_VALUE;
         boolean dead;
+
+        /** Whether this proxy learns of new primaries. */
+        boolean informed = true;
+
         private int share = 1;
         private final Map<String, Integer> permits = new HashMap<>();
 
@@ -160,8 +164,10 @@
             } else if (action instanceof EngineAction.CloseConnection close) {
                 held.remove(close.connection());
                 FakeEndpoint e = links.remove(close.connection());
-                if (e != null && !cut.contains(e.name)) {
-                    time.after(MILLI, () -> e.disconnected(global(close.connection())));
+                if (e != null) {
+                    boolean late = cut.contains(e.name) || silent.contains(close.connection());
+                    long delay = late ? 2000 * MILLI : MILLI;
+                    time.after(delay, () -> e.disconnected(global(close.connection())));
                 }
             } else if (action instanceof EngineAction.Send send) {
                 long delay = MILLI + random.nextInt(200_000);
@@ -186,7 +192,11 @@
 
         private void deliver(EngineAction.Send send) {
             FakeEndpoint e = links.get(send.connection());
-            if (e == null || silent.contains(send.connection()) || cut.contains(e.name)) {
+            if (e == null) {
+                return;
+            }
+            if (silent.contains(send.connection()) || cut.contains(e.name)) {
+                deliverLate(send, e);
                 return;
             }
             if (e.down || !e.connections.contains(global(send.connection()))) {
@@ -198,6 +208,18 @@
             e.call(global(send.connection()), send.call(), answer -> reply(send, e, answer));
         }
 
+        /** The call arrives long after its caller gave up, and its answer is lost. */
+        private void deliverLate(EngineAction.Send send, FakeEndpoint e) {
+            long delay = (100 + random.nextInt(1500)) * MILLI;
+            time.after(
+                    delay,
+                    () -> {
+                        if (!e.down && e.connections.contains(global(send.connection()))) {
+                            e.call(global(send.connection()), send.call(), answer -> {});
+                        }
+                    });
+        }
+
         private void reply(EngineAction.Send send, FakeEndpoint e, EndpointAnswer answer) {
             if (silent.contains(send.connection()) || cut.contains(e.name)) {
                 return;
@@ -264,7 +286,11 @@
                 p ->
                         time.after(
                                 (long) (random.nextDouble() * viewDelayNanos),
-                                () -> p.handle(new EngineEvent.GroupChanged(view()))));
+                                () -> {
+                                    if (p.informed) {
+                                        p.handle(new EngineEvent.GroupChanged(view()));
+                                    }
+                                }));
         return true;
     }
 
--- a/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
@@ -245,4 +245,35 @@
         assertThat(call(get("k", ReadLevel.SESSION, Position.ZERO)))
                 .isInstanceOf(CallerAnswer.Done.class);
     }
+
+    /** Guards against "not run" from a primary whose cancellation mark can be discarded. */
+    @Test
+    void unconfirmedCancellationIsUnknown() {
+        group.time.runUntil(300 * MILLI);
+        group.stalled.add("e1");
+        group.stalled.add("e2");
+        CallerAnswer answer =
+                call(
+                        new CallerRequest.Resolve(
+                                ++lastId, "s", new WriteIdentity("w1", 1), deadline()));
+        assertThat(answer).isInstanceOf(CallerAnswer.Unknown.class);
+    }
+
+    /** Guards against a replaced primary that answers strong reads by old evidence. */
+    @Test
+    void replacedPrimaryAnswersNoStrongRead() {
+        FakeGroup.Proxy other = group.addProxy(EngineSettings.defaults(), 4, 1);
+        proxy.informed = false;
+        // Between two status rounds and pings of the uninformed proxy.
+        group.time.runUntil(1110 * MILLI);
+        group.isolated.add("e0");
+        group.viewDelayNanos = 0;
+        group.failOver();
+        List<CallerAnswer> written = new ArrayList<>();
+        other.call(increment("k", "w1"), written::add);
+        group.time.runUntil(1150 * MILLI);
+        assertThat(written).hasOnlyElementsOfType(CallerAnswer.Done.class).hasSize(1);
+        assertThat(refusal(call(get("k", ReadLevel.STRONG, Position.ZERO))))
+                .isIn(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.OVERLOADED);
+    }
 }
