--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
@@ -13,6 +13,7 @@
     private Lane lane;
     private WorkClass workClass = WorkClass.SHORT;
     private WorkQueue queue;
+    private Timers.Timer refusalTimer;
     private long queuedAt;
     private boolean answered;
     private boolean callerLost;
@@ -46,6 +47,13 @@
         answer(new CallerAnswer.NotRun(id(), kind, message, retryAfterMillis));
     }
 
+    /**
+     * Returns the expected time from the endpoint's answer to the confirmation, if it is needed.
+     */
+    long confirmationNanos() {
+        return 0;
+    }
+
     /** Reacts to a new term or primary. */
     void groupChanged() {
         // Most requests learn of it by the refusal of the old primary.
@@ -105,6 +113,14 @@
         queue = next;
     }
 
+    /** Sets the timer that refuses the request while it waits; null cancels it. */
+    void refusalTimer(Timers.Timer next) {
+        if (refusalTimer != null) {
+            refusalTimer.cancel();
+        }
+        refusalTimer = next;
+    }
+
     long queuedAt() {
         return queuedAt;
     }
--- a/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
@@ -27,17 +27,27 @@
     /** Endpoints that no message reaches or leaves. */
     final Set<String> cut = new HashSet<>();
 
+    /** Endpoints that proxies reach, but neither the other endpoints nor the control group. */
+    final Set<String> isolated = new HashSet<>();
+
     /** Replicas that do not fetch. */
     final Set<String> stalled = new HashSet<>();
 
     /** Probability that an answer is delivered late and a second time. */
     double lateAnswers;
 
-    /** Probability that an answer is additionally delivered to another connection. */
+    /** Probability that an answer also arrives on another connection and for another exchange. */
     double crossedAnswers;
 
     final long lagNanos;
     private final int connectionLimit;
+
+    /** Longest delay until a proxy learns of a new primary. */
+    long viewDelayNanos = 20 * MILLI;
+
+    /** Identifier of the last caller request. */
+    long lastRequest;
+
     private long term;
     private FakeEndpoint primary;
 
@@ -58,23 +68,37 @@
         private final Map<Long, Consumer<CallerAnswer>> callers = new HashMap<>();
         private final Map<Long, FakeEndpoint> links = new HashMap<>();
         private final Set<Long> silent = new HashSet<>();
+
+        /** Endpoint of each connection that is open or being opened. */
+        private final Map<Long, String> held = new HashMap<>();
+
         private final int number = proxies.size();
         private long wakeAt = Long.MAX_VALUE;
         boolean dead;
 
+        /** Whether this proxy learns of new primaries. */
+        boolean informed = true;
+
+        private int share = 1;
+        private final Map<String, Integer> permits = new HashMap<>();
+
         Proxy(EngineSettings settings, int share, int longPermits) {
             engine = new GroupEngine(settings, "p" + number, "g", new Random(random.nextLong()));
             handle(new EngineEvent.GroupChanged(view()));
             lease(share, longPermits);
         }
 
-        private void lease(int share, int longPermits) {
-            for (FakeEndpoint e : endpoints) {
-                long end = time.now() + 3000 * MILLI;
-                int permits = longPermits;
-                handle(new EngineEvent.ShareLeased(e.name, 1, share, permits, end));
-            }
-            time.after(1000 * MILLI, () -> lease(share, longPermits));
+        private void lease(int connections, int longPermits) {
+            share = connections;
+            endpoints.forEach(e -> permit(e, permits.getOrDefault(e.name, longPermits)));
+            time.after(1000 * MILLI, () -> lease(connections, longPermits));
+        }
+
+        /** Leases the usual connections and this many long permits. */
+        void permit(FakeEndpoint e, int longPermits) {
+            permits.put(e.name, longPermits);
+            long end = time.now() + 3000 * MILLI;
+            handle(new EngineEvent.ShareLeased(e.name, 1, share, longPermits, end));
         }
 
         void handle(EngineEvent event) {
@@ -96,6 +120,10 @@
             }
         }
 
+        int unanswered() {
+            return callers.size();
+        }
+
         void call(CallerRequest request, Consumer<CallerAnswer> answer) {
             callers.put(request.id(), answer);
             handle(new EngineEvent.RequestArrived(request));
@@ -127,11 +155,19 @@
                 }
                 caller.accept(reply.answer());
             } else if (action instanceof EngineAction.OpenConnection open) {
+                held.put(open.connection(), open.endpoint());
+                long own = held.values().stream().filter(open.endpoint()::equals).count();
+                if (own > share) {
+                    throw new AssertionError(own + " connections, the share is " + share);
+                }
                 time.after(10 * MILLI, () -> connect(open));
             } else if (action instanceof EngineAction.CloseConnection close) {
+                held.remove(close.connection());
                 FakeEndpoint e = links.remove(close.connection());
-                if (e != null && !cut.contains(e.name)) {
-                    time.after(MILLI, () -> e.disconnected(global(close.connection())));
+                if (e != null) {
+                    boolean late = cut.contains(e.name) || silent.contains(close.connection());
+                    long delay = late ? 2000 * MILLI : MILLI;
+                    time.after(delay, () -> e.disconnected(global(close.connection())));
                 }
             } else if (action instanceof EngineAction.Send send) {
                 long delay = MILLI + random.nextInt(200_000);
@@ -141,10 +177,11 @@
 
         private void connect(EngineAction.OpenConnection open) {
             FakeEndpoint e = find(open.endpoint());
-            if (cut.contains(e.name)) {
+            if (cut.contains(e.name) || !held.containsKey(open.connection())) {
                 return;
             }
             if (e.down || e.connections.size() >= connectionLimit) {
+                held.remove(open.connection());
                 handle(new EngineEvent.ConnectionFailed(e.name, open.connection(), "refused"));
                 return;
             }
@@ -155,17 +192,34 @@
 
         private void deliver(EngineAction.Send send) {
             FakeEndpoint e = links.get(send.connection());
-            if (e == null || silent.contains(send.connection()) || cut.contains(e.name)) {
+            if (e == null) {
+                return;
+            }
+            if (silent.contains(send.connection()) || cut.contains(e.name)) {
+                deliverLate(send, e);
                 return;
             }
             if (e.down || !e.connections.contains(global(send.connection()))) {
                 links.remove(send.connection());
+                held.remove(send.connection());
                 handle(new EngineEvent.ConnectionLost(send.connection(), "reset by peer"));
                 return;
             }
             e.call(global(send.connection()), send.call(), answer -> reply(send, e, answer));
         }
 
+        /** The call arrives long after its caller gave up, and its answer is lost. */
+        private void deliverLate(EngineAction.Send send, FakeEndpoint e) {
+            long delay = (100 + random.nextInt(1500)) * MILLI;
+            time.after(
+                    delay,
+                    () -> {
+                        if (!e.down && e.connections.contains(global(send.connection()))) {
+                            e.call(global(send.connection()), send.call(), answer -> {});
+                        }
+                    });
+        }
+
         private void reply(EngineAction.Send send, FakeEndpoint e, EndpointAnswer answer) {
             if (silent.contains(send.connection()) || cut.contains(e.name)) {
                 return;
@@ -176,7 +230,7 @@
                 arrive(delay + 300 * MILLI, send.connection(), send.exchange(), answer);
             }
             if (random.nextDouble() < crossedAnswers) {
-                arrive(delay, send.connection(), send.exchange() + 1, answer);
+                arrive(delay, send.connection(), send.exchange() + 1_000_000, answer);
                 arrive(delay, send.connection() + 1, send.exchange(), answer);
             }
         }
@@ -231,8 +285,12 @@
         proxies.forEach(
                 p ->
                         time.after(
-                                random.nextInt(20_000_000),
-                                () -> p.handle(new EngineEvent.GroupChanged(view()))));
+                                (long) (random.nextDouble() * viewDelayNanos),
+                                () -> {
+                                    if (p.informed) {
+                                        p.handle(new EngineEvent.GroupChanged(view()));
+                                    }
+                                }));
         return true;
     }
 
@@ -243,7 +301,7 @@
     }
 
     boolean reachable(FakeEndpoint e) {
-        return !e.down && !cut.contains(e.name);
+        return !e.down && !cut.contains(e.name) && !isolated.contains(e.name);
     }
 
     private void replicate() {
@@ -258,6 +316,7 @@
     /** Repairs every fault and lets the replicas catch up. */
     void heal() {
         cut.clear();
+        isolated.clear();
         stalled.clear();
         endpoints.forEach(e -> e.down = false);
     }
