--- a/app/src/main/java/org/ragwortmoor/cli/ApiClient.java
+++ b/app/src/main/java/org/ragwortmoor/cli/ApiClient.java
@@ -53,6 +53,11 @@
                         .build();
     }
 
+    /** Returns the addresses in the order in which they are tried. */
+    public List<Address> addresses() {
+        return addresses;
+    }
+
     /** Reads from {@code path}. */
     public ApiResult get(String path) {
         return call(path, "", Repeat.READ);
--- a/app/src/main/java/org/ragwortmoor/cli/Commands.java
+++ b/app/src/main/java/org/ragwortmoor/cli/Commands.java
@@ -34,8 +34,8 @@
                             ApiRequest.get("/v1/rules/history")),
                     new CommandEntry(
                             "status",
-                            "Shows the state of a process.",
-                            ApiRequest.get("/v1/status")),
+                            "Shows the state of processes and groups.",
+                            StatusCommand::new),
                     new CommandEntry(
                             "dump",
                             "Prints the full state of a process.",
@@ -50,6 +50,22 @@
                             "query read", "Reads records through a proxy.", QueryRead::new),
                     new CommandEntry(
                             "query write", "Writes records through a proxy.", QueryWrite::new),
+                    new CommandEntry(
+                            "query outcome",
+                            "Asks for the outcome of an earlier write.",
+                            QueryOutcome::new),
+                    new CommandEntry(
+                            "endpoints drain",
+                            "Keeps new work away from an endpoint.",
+                            EndpointsDrain::new),
+                    new CommandEntry(
+                            "proxies remove",
+                            "Removes a proxy that is stopped for good.",
+                            ProxiesRemove::new),
+                    new CommandEntry(
+                            "members repair",
+                            "Replaces a control member that lost its disk.",
+                            MembersRepair::new),
                     new CommandEntry(
                             "settings",
                             "Prints the reference of all settings.",
--- a/app/src/main/java/org/ragwortmoor/settings/ControlSettings.java
+++ b/app/src/main/java/org/ragwortmoor/settings/ControlSettings.java
@@ -50,7 +50,7 @@
                     "election-timeout",
                     ValueTypes.number(100, 30_000),
                     "ms",
-                    "400",
+                    "500",
                     "Time without a leader before an election; a new leader stands within about"
                             + " 1 s.");
     private static final Setting<Long> HEARTBEAT =
