Make reports and scans of the control leader cheaper

Measured with 4,555 groups and 255 proxies, a report cost 6.6 ms, because each of its 54 shares walked over all members and the announcements were kept in a sorted map. Members are indexed once per revision, and a scan of a quiet group only looks at the evidence against its primary.

--- a/core/src/main/java/org/ragwortmoor/coordination/control/ControlCore.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ControlCore.java
@@ -22,6 +22,9 @@
     /** A leader that did not run for this long has missed announcements, not their senders. */
     private static final long FROZEN_NANOS = 300_000_000L;
 
+    /** Interval of removing what is no longer needed. */
+    private static final long PRUNE_NANOS = 10_000_000_000L;
+
     /** Proxies and endpoints that were silent for this long are forgotten. */
     private static final long FORGET_NANOS = 2 * ProxyMembership.STALE_NANOS;
 
@@ -41,6 +44,7 @@
     private long leaderTerm;
     private long lastEventAt;
     private long nextScan;
+    private long nextPrune;
     private long wallMillis;
 
     /**
@@ -149,6 +153,7 @@
                 reports.reporters().entrySet().stream()
                         .filter(e -> e.getValue().fresh(now))
                         .map(Map.Entry::getKey)
+                        .sorted()
                         .toList(),
                 allocator.holding(now),
                 state.groups()
@@ -285,13 +290,16 @@
             return;
         }
         nextScan = now + SCAN_NANOS;
-        promotions.stepAll(state, now);
+        promotions.scan(state, now);
         activation.step(state, out, wallMillis, now);
         allocator.grantFloors(state, out, now);
         membership.step(state, out, now);
         desk.expire(now);
-        out.prune(now);
-        reports.prune(now, FORGET_NANOS);
-        directory.prune(now, FORGET_NANOS);
+        if (now >= nextPrune) {
+            nextPrune = now + PRUNE_NANOS;
+            out.prune(now);
+            reports.prune(now, FORGET_NANOS);
+            directory.prune(now, FORGET_NANOS);
+        }
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/control/EndpointCalls.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/EndpointCalls.java
@@ -46,6 +46,7 @@
             return null;
         }
         pending.remove(endpoint);
+        retryAt.remove(endpoint);
         return known;
     }
 
@@ -60,6 +61,11 @@
         retryAt.put(endpoint, now + RETRY_NANOS);
     }
 
+    /** Returns whether no call is under way or about to be repeated. */
+    boolean idle() {
+        return pending.isEmpty() && retryAt.isEmpty();
+    }
+
     /** Lets the calls of a new term start at once. */
     void reset() {
         pending.clear();
--- a/core/src/main/java/org/ragwortmoor/coordination/control/EndpointDirectory.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/EndpointDirectory.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.coordination.control;
 
 import io.vavr.control.Option;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import org.ragwortmoor.coordination.control.GroupState.Member;
@@ -17,7 +18,8 @@
     /** Announcements come every 500 ms; two may be missed. */
     static final long ALIVE_NANOS = 1_250_000_000L;
 
-    private final TreeMap<EndpointKey, Seen> seen = new TreeMap<>();
+    private final Map<EndpointKey, Seen> seen = new HashMap<>();
+    private final Map<String, Long> groupHeardAt = new HashMap<>();
     private long startedAt;
 
     /**
@@ -52,6 +54,7 @@
                 before != null
                         && before.info().incarnation() == announcement.info().incarnation()
                         && now - before.receivedAt() < ALIVE_NANOS;
+        groupHeardAt.put(announcement.group(), now);
         seen.put(key, new Seen(announcement, now, continues ? before.since() : now));
         return key;
     }
@@ -79,9 +82,8 @@
 
     /** Returns whether any endpoint of the group announced itself lately. */
     boolean hearsGroup(String group, long now) {
-        return seen.tailMap(new EndpointKey(group, ""), true).entrySet().stream()
-                .takeWhile(e -> e.getKey().group().equals(group))
-                .anyMatch(e -> now - e.getValue().receivedAt() < ALIVE_NANOS);
+        Long heardAt = groupHeardAt.get(group);
+        return heardAt != null && now - heardAt < ALIVE_NANOS;
     }
 
     /** Proposes what the newest announcement changes in the replicated directory. */
@@ -120,12 +122,13 @@
     }
 
     void reconcileAll(ControlState state, Outbox out, long now) {
-        seen.forEach(
-                (key, last) -> {
-                    if (now - last.receivedAt() < ALIVE_NANOS) {
-                        reconcile(key, state, out, now);
-                    }
-                });
+        new TreeMap<>(seen)
+                .forEach(
+                        (key, last) -> {
+                            if (now - last.receivedAt() < ALIVE_NANOS) {
+                                reconcile(key, state, out, now);
+                            }
+                        });
     }
 
     /** Returns why an announced endpoint is not counted, for the dump. */
@@ -163,5 +166,6 @@
     /** Forgets endpoints that were silent for {@code age}. */
     void prune(long now, long age) {
         seen.values().removeIf(s -> now - s.receivedAt() >= age);
+        groupHeardAt.values().removeIf(heardAt -> now - heardAt >= age);
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/control/EndpointShares.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/EndpointShares.java
@@ -31,29 +31,23 @@
     record Basis(
             EndpointInfo info,
             Option<Seen> seen,
-            io.vavr.collection.TreeMap<String, MemberProxy> members,
+            MemberFloors members,
             long leaderTerm,
             boolean holding) {
         int floor(String proxy) {
-            return members.get(proxy)
-                    .map(
-                            m ->
-                                    m.floorNumber() < ShareAllocator.floors(info.connectionLimit())
-                                            ? 1
-                                            : 0)
-                    .getOrElse(0);
+            return members.floor(proxy, info.connectionLimit());
         }
     }
 
     Share grant(ProxyReport report, EndpointObservation observation, Basis basis, long now) {
         ShareHolder holder = holders.computeIfAbsent(report.proxy(), proxy -> new ShareHolder());
         holder.report(report, observation, basis.leaderTerm(), now);
-        Option<MemberProxy> member = basis.members().get(report.proxy());
-        if (member.isEmpty()) {
+        MemberProxy member = basis.members().member(report.proxy());
+        if (member == null) {
             return new Share(key.group(), key.endpoint(), 0, 0, 0);
         }
         settle(basis, now);
-        int floor = member.get().floorGranted() ? basis.floor(report.proxy()) : 0;
+        int floor = member.floorGranted() ? basis.floor(report.proxy()) : 0;
         int connections = connections(report.proxy(), holder, floor, basis, now);
         int longPermits = longPermits(report.proxy(), holder, basis, now);
         holder.grant(
@@ -69,7 +63,8 @@
         holders.values().forEach(h -> h.expire(now));
         releaseAbandoned(basis, now);
         holders.entrySet()
-                .removeIf(e -> e.getValue().idle(now) && !basis.members().containsKey(e.getKey()));
+                .removeIf(
+                        e -> e.getValue().idle(now) && basis.members().member(e.getKey()) == null);
     }
 
     /** An ended lease is free when an announcement since then counts no connection beyond it. */
@@ -95,19 +90,15 @@
 
     /** Returns connections that may be in use, or are reserved, by all proxies together. */
     int committed(Basis basis, long now) {
-        int sum = 0;
+        int sum = basis.members().sum(basis.info().connectionLimit());
         int abandoned = 0;
-        int unheard = 0;
-        for (String proxy : basis.members().keySet()) {
-            if (!holders.containsKey(proxy)) {
-                sum += basis.floor(proxy);
-                unheard++;
-            }
-        }
+        int unheard = basis.members().size();
         long endedAt = Long.MIN_VALUE;
         for (Map.Entry<String, ShareHolder> entry : holders.entrySet()) {
             ShareHolder holder = entry.getValue();
-            sum += holder.committed(basis.floor(entry.getKey()), now);
+            int floor = basis.floor(entry.getKey());
+            sum += holder.committed(floor, now) - floor;
+            unheard -= basis.members().member(entry.getKey()) != null ? 1 : 0;
             abandoned += holder.abandoned();
             if (holder.abandoned() > 0) {
                 endedAt = Math.max(endedAt, holder.abandonedAt());
@@ -136,7 +127,7 @@
         int reserved = committed;
         for (Map.Entry<String, ShareHolder> entry : holders.entrySet()) {
             String name = entry.getKey();
-            if (entry.getValue().live(now) && basis.members().containsKey(name)) {
+            if (entry.getValue().live(now) && basis.members().member(name) != null) {
                 needs.put(name, new Need(basis.floor(name), entry.getValue().demand()));
                 reserved -= entry.getValue().committed(basis.floor(name), now);
             }
@@ -174,7 +165,7 @@
         SortedMap<String, Need> needs = new TreeMap<>();
         holders.forEach(
                 (name, holder) -> {
-                    if (holder.live(now) && basis.members().containsKey(name)) {
+                    if (holder.live(now) && basis.members().member(name) != null) {
                         needs.put(name, new Need(0, 1));
                     }
                 });
--- a/core/src/main/java/org/ragwortmoor/coordination/control/FailureDetector.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/FailureDetector.java
@@ -33,23 +33,28 @@
 
     @Override
     public Option<String> suspicion(EndpointKey key, long now) {
+        boolean leaderSilent = directory.silentFor(key, now) >= SILENT_NANOS;
+        Map<String, EndpointObservation> observations = reports.observations(key);
+        if (!leaderSilent && observations.values().stream().noneMatch(FailureDetector::silent)) {
+            return Option.none();
+        }
         int reporters = 1;
         int silent = 0;
         Set<String> domains = new TreeSet<>();
         Set<String> silentDomains = new TreeSet<>();
         domains.add(leaderDomain);
-        if (directory.silentFor(key, now) >= SILENT_NANOS) {
+        if (leaderSilent) {
             silent++;
             silentDomains.add(leaderDomain);
         }
-        for (Map.Entry<String, EndpointObservation> seen : reports.observations(key).entrySet()) {
+        for (Map.Entry<String, EndpointObservation> seen : observations.entrySet()) {
             ReportTable.Reporter reporter = reports.reporters().get(seen.getKey());
             if (reporter == null || !reporter.fresh(now)) {
                 continue;
             }
             reporters++;
             domains.add(reporter.report().failureDomain());
-            if (seen.getValue().silentMillis() >= SILENT_MILLIS) {
+            if (silent(seen.getValue())) {
                 silent++;
                 silentDomains.add(reporter.report().failureDomain());
             }
@@ -70,4 +75,8 @@
                                 key.endpoint(),
                                 SILENT_MILLIS));
     }
+
+    private static boolean silent(EndpointObservation observation) {
+        return observation.silentMillis() >= SILENT_MILLIS;
+    }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/control/GroupPromotion.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/GroupPromotion.java
@@ -28,6 +28,9 @@
     /** Wait in a planned switch, where the leaving primary itself must not decide the choice. */
     private static final long PLANNED_GRACE_NANOS = 50_000_000L;
 
+    /** Interval of full steps of a group without calls under way. */
+    private static final long QUIET_NANOS = 500_000_000L;
+
     private final String group;
     private final ControlContext context;
     private final EndpointCalls calls;
@@ -37,6 +40,7 @@
     private final Map<String, EndpointStatus> promises = new TreeMap<>();
     private final Set<String> unreachable = new TreeSet<>();
     private long promiseTerm;
+    private long fullStepAt;
     private long majorityAt = Long.MAX_VALUE;
     private long graceEnd = Long.MAX_VALUE;
     private long highestPromised;
@@ -63,7 +67,25 @@
         return graceEnd;
     }
 
+    /**
+     * Steps unless nothing but a suspicion can have changed since the last step.
+     *
+     * <p>Announcements, answers and commits step the group anyway, so a scan of thousands of quiet
+     * groups only looks at the evidence against their primaries.
+     */
+    void scan(GroupState state, long now) {
+        boolean quiet = now < fullStepAt && !state.promoting() && waiting.isEmpty();
+        if (quiet) {
+            EndpointKey primary = new EndpointKey(group, state.primary().getOrElse(""));
+            quiet = context.suspicion().suspicion(primary, now).isEmpty();
+        }
+        if (!quiet) {
+            step(state, now);
+        }
+    }
+
     void step(GroupState state, long now) {
+        fullStepAt = now + (calls.idle() ? QUIET_NANOS : 0);
         waiting = "";
         graceEnd = Long.MAX_VALUE;
         if (state.promoting()) {
--- a/core/src/main/java/org/ragwortmoor/coordination/control/PromotionCoordinator.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/PromotionCoordinator.java
@@ -19,8 +19,9 @@
         found.forEach(g -> of(group).step(g, now));
     }
 
-    void stepAll(ControlState state, long now) {
-        state.groups().values().forEach(g -> of(g.group()).step(g, now));
+    /** Looks at all groups; cheap for those where nothing happened. */
+    void scan(ControlState state, long now) {
+        state.groups().values().forEach(g -> of(g.group()).scan(g, now));
     }
 
     /** Continues the promotions whose wait for further promises has ended. */
--- a/core/src/main/java/org/ragwortmoor/coordination/control/ReportTable.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ReportTable.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.TreeMap;
 import org.ragwortmoor.coordination.control.ProxyReport.EndpointObservation;
 
 /**
@@ -26,7 +25,7 @@
 
     private static final int REMEMBERED_INCARNATIONS = 4;
 
-    private final Map<String, Reporter> reporters = new TreeMap<>();
+    private final Map<String, Reporter> reporters = new HashMap<>();
     private final Map<EndpointKey, Map<String, EndpointObservation>> observers = new HashMap<>();
 
     /** What is known of a proxy. */
@@ -105,22 +104,38 @@
         if (!known.accept(report, now)) {
             return false;
         }
-        for (EndpointObservation seen : before.endpoints()) {
-            Map<String, EndpointObservation> of =
-                    observers.get(new EndpointKey(seen.group(), seen.endpoint()));
-            if (of != null) {
-                of.remove(report.proxy());
+        if (!sameEndpoints(before, report)) {
+            for (EndpointObservation seen : before.endpoints()) {
+                Map<String, EndpointObservation> of =
+                        observers.get(new EndpointKey(seen.group(), seen.endpoint()));
+                if (of != null) {
+                    of.remove(report.proxy());
+                }
             }
         }
         index(report);
         return true;
     }
 
+    private static boolean sameEndpoints(ProxyReport before, ProxyReport next) {
+        if (before.endpoints().size() != next.endpoints().size()) {
+            return false;
+        }
+        for (int i = 0; i < next.endpoints().size(); i++) {
+            EndpointObservation one = before.endpoints().get(i);
+            EndpointObservation other = next.endpoints().get(i);
+            if (!one.group().equals(other.group()) || !one.endpoint().equals(other.endpoint())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void index(ProxyReport report) {
         for (EndpointObservation seen : report.endpoints()) {
             observers
                     .computeIfAbsent(
-                            new EndpointKey(seen.group(), seen.endpoint()), k -> new TreeMap<>())
+                            new EndpointKey(seen.group(), seen.endpoint()), k -> new HashMap<>())
                     .put(report.proxy(), seen);
         }
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/control/ShareAllocator.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ShareAllocator.java
@@ -31,6 +31,8 @@
     private final Map<EndpointKey, EndpointShares> endpoints = new HashMap<>();
     private long leaderTerm;
     private long holdUntil;
+    private MemberFloors members;
+    private long membersRevision;
 
     ShareAllocator(EndpointDirectory directory, ShareRule rule) {
         this.directory = directory;
@@ -47,6 +49,7 @@
     /** Grants nothing beyond the reported holdings until the leases of an earlier leader ended. */
     void becameLeader(long term, long now) {
         endpoints.clear();
+        members = null;
         leaderTerm = term;
         holdUntil = now + LEASE_NANOS;
     }
@@ -102,6 +105,14 @@
         return state.groups().get(key.group()).flatMap(g -> g.endpoints().get(key.endpoint()));
     }
 
+    private MemberFloors floorsOf(ControlState state) {
+        if (members == null || membersRevision != state.revision()) {
+            members = new MemberFloors(state);
+            membersRevision = state.revision();
+        }
+        return members;
+    }
+
     private EndpointShares shares(EndpointKey key) {
         return endpoints.computeIfAbsent(key, k -> new EndpointShares(k, rule));
     }
@@ -109,6 +120,6 @@
     private EndpointShares.Basis basis(
             EndpointKey key, Member member, ControlState state, long now) {
         return new EndpointShares.Basis(
-                member.info(), directory.seen(key), state.members(), leaderTerm, holding(now));
+                member.info(), directory.seen(key), floorsOf(state), leaderTerm, holding(now));
     }
 }
