Apply the leader's shares as a whole and state incarnations

An endpoint that an update does not list has no share any more, and an older update than the last one is ignored, so a share can never grow by a late message. Endpoints state their incarnation with each status, so that the control group does not count one that lost its data.

--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
@@ -14,6 +14,7 @@
 import org.ragwortmoor.coordination.control.ControlUpdate;
 import org.ragwortmoor.coordination.control.ControlUpdate.RulesText;
 import org.ragwortmoor.coordination.control.ProxyReport;
+import org.ragwortmoor.coordination.control.ProxyShares;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerEnvelope;
 import org.ragwortmoor.transport.PeerClient;
@@ -36,6 +37,7 @@
     private final BooleanSupplier stopping;
     private final LongSupplier clock;
     private final AtomicLong updates = new AtomicLong();
+    private final ProxyShares shares;
     private final AtomicReference<ProxyReport.Acknowledged> acknowledged =
             new AtomicReference<>(ProxyReport.Acknowledged.NONE);
     private PeerClient peers;
@@ -56,6 +58,7 @@
         this.sessions = sessions;
         this.stopping = stopping;
         this.clock = clock;
+        this.shares = new ProxyShares(reports.incarnation());
     }
 
     /** Starts to report. */
@@ -93,7 +96,8 @@
         }
     }
 
-    private void accept(ControlUpdate received) {
+    /** Workers may handle updates out of order; the lock keeps an older one from coming last. */
+    private synchronized void accept(ControlUpdate received) {
         long before = access.activeVersion();
         ControlUpdate update = withInitialRules(received, before);
         UpdateResult result = access.accept(update);
@@ -106,10 +110,13 @@
                 return;
             }
             default -> {
+                if (!shares.apply(update)) {
+                    return;
+                }
                 updates.incrementAndGet();
                 sessions.replaceKeys(update.tokenKeys());
                 groups.accept(update);
-                acknowledge(update);
+                acknowledged.set(shares.acknowledged());
             }
         }
         long after = access.activeVersion();
@@ -118,21 +125,6 @@
         }
     }
 
-    /** Updates can be handled out of order by the workers; only the newest one counts. */
-    private void acknowledge(ControlUpdate update) {
-        ProxyReport.Acknowledged next =
-                new ProxyReport.Acknowledged(
-                        update.leaderTerm(), update.reportSequence(), update.groupsRevision());
-        acknowledged.accumulateAndGet(next, ControlLink::newer);
-    }
-
-    private static ProxyReport.Acknowledged newer(
-            ProxyReport.Acknowledged one, ProxyReport.Acknowledged other) {
-        int byTerm = Long.compare(one.leaderTerm(), other.leaderTerm());
-        int order = byTerm != 0 ? byTerm : Long.compare(one.sequence(), other.sequence());
-        return order >= 0 ? one : other;
-    }
-
     /**
      * Adds the empty version 0 if the leader has no rules: this update answers a report of version
      * 0, so a leader with rules would have sent them.
--- a/app/src/main/java/org/ragwortmoor/daemon/GroupDirectory.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/GroupDirectory.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
@@ -11,7 +12,9 @@
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.ragwortmoor.coordination.control.ControlUpdate;
+import org.ragwortmoor.coordination.control.EndpointKey;
 import org.ragwortmoor.coordination.engine.CallerAnswer;
+import org.ragwortmoor.coordination.engine.EngineDump;
 import org.ragwortmoor.coordination.engine.EngineEvent;
 import org.ragwortmoor.coordination.engine.EngineSettings;
 import org.ragwortmoor.coordination.engine.GroupEngine;
@@ -62,20 +65,33 @@
                     .submit(new EngineEvent.GroupChanged(view));
         }
         long deadline = update.reportSentAt() + update.shareLeaseMillis() * 1_000_000;
-        for (ControlUpdate.Share share : update.shares()) {
-            host(share.group())
-                    .forEach(
-                            host ->
-                                    host.submit(
-                                            new EngineEvent.ShareLeased(
-                                                    share.endpoint(),
-                                                    share.floor(),
-                                                    share.connections(),
-                                                    share.longPermits(),
-                                                    deadline)));
+        Map<EndpointKey, ControlUpdate.Share> shares = new HashMap<>();
+        update.shares().forEach(s -> shares.put(new EndpointKey(s.group(), s.endpoint()), s));
+        for (GroupHost host : hosts.values()) {
+            for (EngineDump.Endpoint endpoint : host.dump().endpoints()) {
+                lease(host, endpoint.endpoint(), shares, deadline);
+            }
         }
     }
 
+    /** An endpoint that the update does not list has no share any more. */
+    private static void lease(
+            GroupHost host,
+            String endpoint,
+            Map<EndpointKey, ControlUpdate.Share> shares,
+            long deadline) {
+        ControlUpdate.Share none = new ControlUpdate.Share(host.group(), endpoint, 0, 0, 0);
+        ControlUpdate.Share share =
+                shares.getOrDefault(new EndpointKey(host.group(), endpoint), none);
+        host.submit(
+                new EngineEvent.ShareLeased(
+                        endpoint,
+                        share.floor(),
+                        share.connections(),
+                        share.longPermits(),
+                        deadline));
+    }
+
     /** Begins the planned stop of all groups. */
     void stop() {
         List.copyOf(hosts.values()).forEach(h -> h.submit(new EngineEvent.StopRequested()));
--- a/core/src/main/java/org/ragwortmoor/protocol/StateCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/StateCodec.java
@@ -53,7 +53,8 @@
                         .setRunning(status.running())
                         .setQueued(status.queued())
                         .setConnections(status.connections())
-                        .setLeaving(status.leaving());
+                        .setLeaving(status.leaving())
+                        .setIncarnation(status.incarnation());
         for (TermStart start : status.history().starts()) {
             builder.addHistory(
                     TermStartMessage.newBuilder().setTerm(start.term()).setIndex(start.index()));
@@ -71,7 +72,8 @@
                 notNegative(message.getRunning(), "status.running"),
                 notNegative(message.getQueued(), "status.queued"),
                 notNegative(message.getConnections(), "status.connections"),
-                message.getLeaving());
+                message.getLeaving(),
+                message.getIncarnation());
     }
 
     private static TermHistory decodeHistory(List<TermStartMessage> messages)
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Endpoint.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Endpoint.java
@@ -298,157 +298,157 @@
       "int.FaultSwitchedMessageH\000B\006\n\004body\".\n\017Po" +
       "sitionMessage\022\014\n\004term\030\001 \001(\004\022\r\n\005index\030\002 \001" +
       "(\004\"/\n\020TermStartMessage\022\014\n\004term\030\001 \001(\004\022\r\n\005" +
-      "index\030\002 \001(\004\"\364\001\n\025EndpointStatusMessage\022\025\n" +
+      "index\030\002 \001(\004\"\211\002\n\025EndpointStatusMessage\022\025\n" +
       "\rpromised_term\030\001 \001(\004\022\017\n\007primary\030\002 \001(\010\0223\n" +
       "\004last\030\003 \001(\0132%.ragwortmoor.endpoint.Posit" +
       "ionMessage\0227\n\007history\030\004 \003(\0132&.ragwortmoo" +
       "r.endpoint.TermStartMessage\022\017\n\007running\030\005" +
       " \001(\005\022\016\n\006queued\030\006 \001(\005\022\023\n\013connections\030\007 \001(" +
-      "\005\022\017\n\007leaving\030\010 \001(\010\"\243\002\n\020OperationMessage\022" +
-      "/\n\003get\030\001 \001(\0132 .ragwortmoor.endpoint.GetM" +
-      "essageH\000\022/\n\003put\030\002 \001(\0132 .ragwortmoor.endp" +
-      "oint.PutMessageH\000\0225\n\006delete\030\003 \001(\0132#.ragw" +
-      "ortmoor.endpoint.DeleteMessageH\000\022;\n\tincr" +
-      "ement\030\004 \001(\0132&.ragwortmoor.endpoint.Incre" +
-      "mentMessageH\000\0221\n\004scan\030\005 \001(\0132!.ragwortmoo" +
-      "r.endpoint.ScanMessageH\000B\006\n\004kind\"\031\n\nGetM" +
-      "essage\022\013\n\003key\030\001 \001(\t\"(\n\nPutMessage\022\013\n\003key" +
-      "\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\034\n\rDeleteMessage\022\013" +
-      "\n\003key\030\001 \001(\t\".\n\020IncrementMessage\022\013\n\003key\030\001" +
-      " \001(\t\022\r\n\005delta\030\002 \001(\022\";\n\013ScanMessage\022\016\n\006pr" +
-      "efix\030\001 \001(\t\022\r\n\005after\030\002 \001(\t\022\r\n\005limit\030\003 \001(\005" +
-      "\"4\n\024WriteIdentityMessage\022\013\n\003key\030\001 \001(\t\022\017\n" +
-      "\007attempt\030\002 \001(\005\">\n\021ReadRecordMessage\022\013\n\003k" +
-      "ey\030\001 \001(\t\022\022\n\005value\030\002 \001(\tH\000\210\001\001B\010\n\006_value\"\272" +
-      "\005\n\013CallMessage\0220\n\005hello\030\001 \001(\0132\037.ragwortm" +
-      "oor.endpoint.HelloCallH\000\022.\n\004ping\030\002 \001(\0132\036" +
-      ".ragwortmoor.endpoint.PingCallH\000\022.\n\004read" +
-      "\030\003 \001(\0132\036.ragwortmoor.endpoint.ReadCallH\000" +
-      "\0220\n\005write\030\004 \001(\0132\037.ragwortmoor.endpoint.W" +
-      "riteCallH\000\0220\n\005begin\030\005 \001(\0132\037.ragwortmoor." +
-      "endpoint.BeginCallH\000\022A\n\016in_transaction\030\006" +
-      " \001(\0132\'.ragwortmoor.endpoint.InTransactio" +
-      "nCallH\000\0222\n\006commit\030\007 \001(\0132 .ragwortmoor.en" +
-      "dpoint.CommitCallH\000\0220\n\005reset\030\010 \001(\0132\037.rag" +
-      "wortmoor.endpoint.ResetCallH\000\0222\n\006status\030" +
-      "\t \001(\0132 .ragwortmoor.endpoint.StatusCallH" +
-      "\000\0224\n\007resolve\030\n \001(\0132!.ragwortmoor.endpoin" +
-      "t.ResolveCallH\000\0220\n\005fence\030\013 \001(\0132\037.ragwort" +
-      "moor.endpoint.FenceCallH\000\0224\n\007promote\030\014 \001" +
-      "(\0132!.ragwortmoor.endpoint.PromoteCallH\000\022" +
-      "2\n\006follow\030\r \001(\0132 .ragwortmoor.endpoint.F" +
-      "ollowCallH\000B\006\n\004kind\"3\n\tHelloCall\022\016\n\006clie" +
-      "nt\030\001 \001(\t\022\026\n\016administrative\030\002 \001(\010\"\n\n\010Ping" +
-      "Call\"^\n\010ReadCall\022:\n\noperations\030\001 \003(\0132&.r" +
-      "agwortmoor.endpoint.OperationMessage\022\026\n\016" +
-      "service_micros\030\002 \001(\004\"\253\001\n\tWriteCall\022\014\n\004te" +
-      "rm\030\001 \001(\004\022:\n\noperations\030\002 \003(\0132&.ragwortmo" +
-      "or.endpoint.OperationMessage\022<\n\010identity" +
-      "\030\003 \001(\0132*.ragwortmoor.endpoint.WriteIdent" +
-      "ityMessage\022\026\n\016service_micros\030\004 \001(\004\"\031\n\tBe" +
-      "ginCall\022\014\n\004term\030\001 \001(\004\"|\n\021InTransactionCa" +
-      "ll\022\023\n\013transaction\030\001 \001(\004\022:\n\noperations\030\002 " +
-      "\003(\0132&.ragwortmoor.endpoint.OperationMess" +
-      "age\022\026\n\016service_micros\030\003 \001(\004\"_\n\nCommitCal" +
-      "l\022\023\n\013transaction\030\001 \001(\004\022<\n\010identity\030\002 \001(\013" +
-      "2*.ragwortmoor.endpoint.WriteIdentityMes" +
-      "sage\"\013\n\tResetCall\"Y\n\nStatusCall\0226\n\007await" +
-      "ed\030\001 \001(\0132%.ragwortmoor.endpoint.Position" +
-      "Message\022\023\n\013wait_micros\030\002 \001(\004\"Y\n\013ResolveC" +
-      "all\022\014\n\004term\030\001 \001(\004\022<\n\010identity\030\002 \001(\0132*.ra" +
-      "gwortmoor.endpoint.WriteIdentityMessage\"" +
-      "\031\n\tFenceCall\022\014\n\004term\030\001 \001(\004\"\033\n\013PromoteCal" +
-      "l\022\014\n\004term\030\001 \001(\004\"3\n\nFollowCall\022\014\n\004term\030\001 " +
-      "\001(\004\022\027\n\017primary_address\030\002 \001(\t\"\363\002\n\rAnswerM" +
-      "essage\022A\n\rstatus_report\030\001 \001(\0132(.ragwortm" +
-      "oor.endpoint.StatusReportAnswerH\000\0224\n\006res" +
-      "ult\030\002 \001(\0132\".ragwortmoor.endpoint.ResultA" +
-      "nswerH\000\0222\n\005began\030\003 \001(\0132!.ragwortmoor.end" +
-      "point.BeganAnswerH\000\022;\n\nreset_done\030\004 \001(\0132" +
-      "%.ragwortmoor.endpoint.ResetDoneAnswerH\000" +
-      "\0228\n\010resolved\030\005 \001(\0132$.ragwortmoor.endpoin" +
-      "t.ResolvedAnswerH\000\0226\n\007refused\030\006 \001(\0132#.ra" +
-      "gwortmoor.endpoint.RefusedAnswerH\000B\006\n\004ki" +
-      "nd\"Q\n\022StatusReportAnswer\022;\n\006status\030\001 \001(\013" +
-      "2+.ragwortmoor.endpoint.EndpointStatusMe" +
-      "ssage\"\273\001\n\014ResultAnswer\0228\n\007records\030\001 \003(\0132" +
-      "\'.ragwortmoor.endpoint.ReadRecordMessage" +
-      "\0227\n\010position\030\002 \001(\0132%.ragwortmoor.endpoin" +
-      "t.PositionMessage\022\021\n\tduplicate\030\003 \001(\010\022\025\n\r" +
-      "queued_micros\030\004 \001(\004\022\016\n\006queued\030\005 \001(\005\"\"\n\013B" +
-      "eganAnswer\022\023\n\013transaction\030\001 \001(\004\"\021\n\017Reset" +
-      "DoneAnswer\"[\n\016ResolvedAnswer\022\020\n\010executed" +
-      "\030\001 \001(\010\0227\n\010position\030\002 \001(\0132%.ragwortmoor.e" +
-      "ndpoint.PositionMessage\"\201\001\n\rRefusedAnswe" +
-      "r\0226\n\004kind\030\001 \001(\0162(.ragwortmoor.endpoint.R" +
-      "efusalKindMessage\022\017\n\007message\030\002 \001(\t\022\014\n\004te" +
-      "rm\030\003 \001(\004\022\031\n\021cancelled_attempt\030\004 \001(\005\"w\n\014F" +
-      "etchMessage\022\014\n\004term\030\001 \001(\004\0223\n\004last\030\002 \001(\0132" +
-      "%.ragwortmoor.endpoint.PositionMessage\022\023" +
-      "\n\013wait_micros\030\003 \001(\004\022\017\n\007replica\030\004 \001(\t\"\313\001\n" +
-      "\016FetchedMessage\0227\n\007entries\030\001 \001(\0132$.ragwo" +
-      "rtmoor.endpoint.EntriesMessageH\000\022=\n\ndive" +
-      "rgence\030\002 \001(\0132\'.ragwortmoor.endpoint.Dive" +
-      "rgenceMessageH\000\0226\n\007refused\030\003 \001(\0132#.ragwo" +
-      "rtmoor.endpoint.RefusedAnswerH\000B\t\n\007outco" +
-      "me\"~\n\016EntriesMessage\0224\n\005after\030\001 \001(\0132%.ra" +
-      "gwortmoor.endpoint.PositionMessage\0226\n\007en" +
-      "tries\030\002 \003(\0132%.ragwortmoor.endpoint.LogEn" +
-      "tryMessage\"\177\n\021DivergenceMessage\0223\n\004last\030" +
-      "\001 \001(\0132%.ragwortmoor.endpoint.PositionMes" +
-      "sage\0225\n\006shared\030\002 \001(\0132%.ragwortmoor.endpo" +
-      "int.PositionMessage\"\202\002\n\017LogEntryMessage\022" +
-      "7\n\010position\030\001 \001(\0132%.ragwortmoor.endpoint" +
-      ".PositionMessage\022:\n\nterm_start\030\002 \001(\0132$.r" +
-      "agwortmoor.endpoint.TermStartEntryH\000\0221\n\005" +
-      "write\030\003 \001(\0132 .ragwortmoor.endpoint.Write" +
-      "EntryH\000\022?\n\014cancellation\030\004 \001(\0132\'.ragwortm" +
-      "oor.endpoint.CancellationEntryH\000B\006\n\004kind" +
-      "\"\020\n\016TermStartEntry\"\272\001\n\nWriteEntry\022<\n\010ide" +
-      "ntity\030\001 \001(\0132*.ragwortmoor.endpoint.Write" +
-      "IdentityMessage\0224\n\007changes\030\002 \003(\0132#.ragwo" +
-      "rtmoor.endpoint.ChangeMessage\0228\n\007results" +
-      "\030\003 \003(\0132\'.ragwortmoor.endpoint.ReadRecord" +
-      "Message\"Q\n\021CancellationEntry\022<\n\010identity" +
-      "\030\001 \001(\0132*.ragwortmoor.endpoint.WriteIdent" +
-      "ityMessage\":\n\rChangeMessage\022\013\n\003key\030\001 \001(\t" +
-      "\022\022\n\005value\030\002 \001(\tH\000\210\001\001B\010\n\006_value\"\267\001\n\rJourn" +
-      "alRecord\022\025\n\013incarnation\030\001 \001(\004H\000\0227\n\007promi" +
-      "se\030\002 \001(\0132$.ragwortmoor.endpoint.JournalP" +
-      "romiseH\000\0226\n\005entry\030\003 \001(\0132%.ragwortmoor.en" +
-      "dpoint.LogEntryMessageH\000\022\026\n\014truncated_to" +
-      "\030\004 \001(\004H\000B\006\n\004kind\"A\n\016JournalPromise\022\014\n\004te" +
-      "rm\030\001 \001(\004\022\017\n\007primary\030\002 \001(\010\022\020\n\010followed\030\003 " +
-      "\001(\t\"\321\003\n\022FaultSwitchMessage\022L\n\023silence_co" +
-      "nnections\030\001 \001(\0132-.ragwortmoor.endpoint.S" +
-      "ilenceConnectionsFaultH\000\022\025\n\013silence_all\030" +
-      "\002 \001(\010H\000\022\034\n\022refuse_connections\030\003 \001(\010H\000\022\026\n" +
-      "\014delay_micros\030\004 \001(\004H\000\022@\n\rcross_answers\030\005" +
-      " \001(\0132\'.ragwortmoor.endpoint.CrossAnswers" +
-      "FaultH\000\022\033\n\021duplicate_answers\030\006 \001(\005H\000\0224\n\007" +
-      "cut_off\030\007 \001(\0132!.ragwortmoor.endpoint.Cut" +
-      "OffFaultH\000\022\032\n\020stop_replication\030\010 \001(\010H\000\022\021" +
-      "\n\007leaving\030\t \001(\010H\000\022 \n\026replication_lag_mic" +
-      "ros\030\n \001(\004H\000\0222\n\005clear\030\013 \001(\0132!.ragwortmoor" +
-      ".endpoint.ClearFaultsH\000B\006\n\004kind\"8\n\027Silen" +
-      "ceConnectionsFault\022\016\n\006client\030\001 \001(\t\022\r\n\005co" +
-      "unt\030\002 \001(\005\"7\n\021CrossAnswersFault\022\r\n\005count\030" +
-      "\001 \001(\005\022\023\n\013hold_micros\030\002 \001(\004\"S\n\013CutOffFaul" +
-      "t\022\r\n\005peers\030\001 \003(\t\0225\n\tdirection\030\002 \001(\0162\".ra" +
-      "gwortmoor.endpoint.CutDirection\"\r\n\013Clear" +
-      "Faults\"%\n\024FaultSwitchedMessage\022\r\n\005error\030" +
-      "\001 \001(\t*\270\002\n\022RefusalKindMessage\022\034\n\030REFUSAL_" +
-      "KIND_UNSPECIFIED\020\000\022\034\n\030REFUSAL_KIND_NOT_P" +
-      "RIMARY\020\001\022\027\n\023REFUSAL_KIND_FENCED\020\002\022\025\n\021REF" +
-      "USAL_KIND_BUSY\020\003\022\031\n\025REFUSAL_KIND_CONFLIC" +
-      "T\020\004\022\030\n\024REFUSAL_KIND_LEAVING\020\005\022!\n\035REFUSAL" +
-      "_KIND_CONNECTION_LIMIT\020\006\022\032\n\026REFUSAL_KIND" +
-      "_CANCELLED\020\007\022$\n REFUSAL_KIND_UNKNOWN_TRA" +
-      "NSACTION\020\010\022\034\n\030REFUSAL_KIND_BAD_REQUEST\020\t" +
-      "*]\n\014CutDirection\022\026\n\022CUT_DIRECTION_BOTH\020\000" +
-      "\022\031\n\025CUT_DIRECTION_INBOUND\020\001\022\032\n\026CUT_DIREC" +
-      "TION_OUTBOUND\020\002B!\n\035org.ragwortmoor.proto" +
-      "col.wireP\001b\006proto3"
+      "\005\022\017\n\007leaving\030\010 \001(\010\022\023\n\013incarnation\030\t \001(\003\"" +
+      "\243\002\n\020OperationMessage\022/\n\003get\030\001 \001(\0132 .ragw" +
+      "ortmoor.endpoint.GetMessageH\000\022/\n\003put\030\002 \001" +
+      "(\0132 .ragwortmoor.endpoint.PutMessageH\000\0225" +
+      "\n\006delete\030\003 \001(\0132#.ragwortmoor.endpoint.De" +
+      "leteMessageH\000\022;\n\tincrement\030\004 \001(\0132&.ragwo" +
+      "rtmoor.endpoint.IncrementMessageH\000\0221\n\004sc" +
+      "an\030\005 \001(\0132!.ragwortmoor.endpoint.ScanMess" +
+      "ageH\000B\006\n\004kind\"\031\n\nGetMessage\022\013\n\003key\030\001 \001(\t" +
+      "\"(\n\nPutMessage\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001" +
+      "(\t\"\034\n\rDeleteMessage\022\013\n\003key\030\001 \001(\t\".\n\020Incr" +
+      "ementMessage\022\013\n\003key\030\001 \001(\t\022\r\n\005delta\030\002 \001(\022" +
+      "\";\n\013ScanMessage\022\016\n\006prefix\030\001 \001(\t\022\r\n\005after" +
+      "\030\002 \001(\t\022\r\n\005limit\030\003 \001(\005\"4\n\024WriteIdentityMe" +
+      "ssage\022\013\n\003key\030\001 \001(\t\022\017\n\007attempt\030\002 \001(\005\">\n\021R" +
+      "eadRecordMessage\022\013\n\003key\030\001 \001(\t\022\022\n\005value\030\002" +
+      " \001(\tH\000\210\001\001B\010\n\006_value\"\272\005\n\013CallMessage\0220\n\005h" +
+      "ello\030\001 \001(\0132\037.ragwortmoor.endpoint.HelloC" +
+      "allH\000\022.\n\004ping\030\002 \001(\0132\036.ragwortmoor.endpoi" +
+      "nt.PingCallH\000\022.\n\004read\030\003 \001(\0132\036.ragwortmoo" +
+      "r.endpoint.ReadCallH\000\0220\n\005write\030\004 \001(\0132\037.r" +
+      "agwortmoor.endpoint.WriteCallH\000\0220\n\005begin" +
+      "\030\005 \001(\0132\037.ragwortmoor.endpoint.BeginCallH" +
+      "\000\022A\n\016in_transaction\030\006 \001(\0132\'.ragwortmoor." +
+      "endpoint.InTransactionCallH\000\0222\n\006commit\030\007" +
+      " \001(\0132 .ragwortmoor.endpoint.CommitCallH\000" +
+      "\0220\n\005reset\030\010 \001(\0132\037.ragwortmoor.endpoint.R" +
+      "esetCallH\000\0222\n\006status\030\t \001(\0132 .ragwortmoor" +
+      ".endpoint.StatusCallH\000\0224\n\007resolve\030\n \001(\0132" +
+      "!.ragwortmoor.endpoint.ResolveCallH\000\0220\n\005" +
+      "fence\030\013 \001(\0132\037.ragwortmoor.endpoint.Fence" +
+      "CallH\000\0224\n\007promote\030\014 \001(\0132!.ragwortmoor.en" +
+      "dpoint.PromoteCallH\000\0222\n\006follow\030\r \001(\0132 .r" +
+      "agwortmoor.endpoint.FollowCallH\000B\006\n\004kind" +
+      "\"3\n\tHelloCall\022\016\n\006client\030\001 \001(\t\022\026\n\016adminis" +
+      "trative\030\002 \001(\010\"\n\n\010PingCall\"^\n\010ReadCall\022:\n" +
+      "\noperations\030\001 \003(\0132&.ragwortmoor.endpoint" +
+      ".OperationMessage\022\026\n\016service_micros\030\002 \001(" +
+      "\004\"\253\001\n\tWriteCall\022\014\n\004term\030\001 \001(\004\022:\n\noperati" +
+      "ons\030\002 \003(\0132&.ragwortmoor.endpoint.Operati" +
+      "onMessage\022<\n\010identity\030\003 \001(\0132*.ragwortmoo" +
+      "r.endpoint.WriteIdentityMessage\022\026\n\016servi" +
+      "ce_micros\030\004 \001(\004\"\031\n\tBeginCall\022\014\n\004term\030\001 \001" +
+      "(\004\"|\n\021InTransactionCall\022\023\n\013transaction\030\001" +
+      " \001(\004\022:\n\noperations\030\002 \003(\0132&.ragwortmoor.e" +
+      "ndpoint.OperationMessage\022\026\n\016service_micr" +
+      "os\030\003 \001(\004\"_\n\nCommitCall\022\023\n\013transaction\030\001 " +
+      "\001(\004\022<\n\010identity\030\002 \001(\0132*.ragwortmoor.endp" +
+      "oint.WriteIdentityMessage\"\013\n\tResetCall\"Y" +
+      "\n\nStatusCall\0226\n\007awaited\030\001 \001(\0132%.ragwortm" +
+      "oor.endpoint.PositionMessage\022\023\n\013wait_mic" +
+      "ros\030\002 \001(\004\"Y\n\013ResolveCall\022\014\n\004term\030\001 \001(\004\022<" +
+      "\n\010identity\030\002 \001(\0132*.ragwortmoor.endpoint." +
+      "WriteIdentityMessage\"\031\n\tFenceCall\022\014\n\004ter" +
+      "m\030\001 \001(\004\"\033\n\013PromoteCall\022\014\n\004term\030\001 \001(\004\"3\n\n" +
+      "FollowCall\022\014\n\004term\030\001 \001(\004\022\027\n\017primary_addr" +
+      "ess\030\002 \001(\t\"\363\002\n\rAnswerMessage\022A\n\rstatus_re" +
+      "port\030\001 \001(\0132(.ragwortmoor.endpoint.Status" +
+      "ReportAnswerH\000\0224\n\006result\030\002 \001(\0132\".ragwort" +
+      "moor.endpoint.ResultAnswerH\000\0222\n\005began\030\003 " +
+      "\001(\0132!.ragwortmoor.endpoint.BeganAnswerH\000" +
+      "\022;\n\nreset_done\030\004 \001(\0132%.ragwortmoor.endpo" +
+      "int.ResetDoneAnswerH\000\0228\n\010resolved\030\005 \001(\0132" +
+      "$.ragwortmoor.endpoint.ResolvedAnswerH\000\022" +
+      "6\n\007refused\030\006 \001(\0132#.ragwortmoor.endpoint." +
+      "RefusedAnswerH\000B\006\n\004kind\"Q\n\022StatusReportA" +
+      "nswer\022;\n\006status\030\001 \001(\0132+.ragwortmoor.endp" +
+      "oint.EndpointStatusMessage\"\273\001\n\014ResultAns" +
+      "wer\0228\n\007records\030\001 \003(\0132\'.ragwortmoor.endpo" +
+      "int.ReadRecordMessage\0227\n\010position\030\002 \001(\0132" +
+      "%.ragwortmoor.endpoint.PositionMessage\022\021" +
+      "\n\tduplicate\030\003 \001(\010\022\025\n\rqueued_micros\030\004 \001(\004" +
+      "\022\016\n\006queued\030\005 \001(\005\"\"\n\013BeganAnswer\022\023\n\013trans" +
+      "action\030\001 \001(\004\"\021\n\017ResetDoneAnswer\"[\n\016Resol" +
+      "vedAnswer\022\020\n\010executed\030\001 \001(\010\0227\n\010position\030" +
+      "\002 \001(\0132%.ragwortmoor.endpoint.PositionMes" +
+      "sage\"\201\001\n\rRefusedAnswer\0226\n\004kind\030\001 \001(\0162(.r" +
+      "agwortmoor.endpoint.RefusalKindMessage\022\017" +
+      "\n\007message\030\002 \001(\t\022\014\n\004term\030\003 \001(\004\022\031\n\021cancell" +
+      "ed_attempt\030\004 \001(\005\"w\n\014FetchMessage\022\014\n\004term" +
+      "\030\001 \001(\004\0223\n\004last\030\002 \001(\0132%.ragwortmoor.endpo" +
+      "int.PositionMessage\022\023\n\013wait_micros\030\003 \001(\004" +
+      "\022\017\n\007replica\030\004 \001(\t\"\313\001\n\016FetchedMessage\0227\n\007" +
+      "entries\030\001 \001(\0132$.ragwortmoor.endpoint.Ent" +
+      "riesMessageH\000\022=\n\ndivergence\030\002 \001(\0132\'.ragw" +
+      "ortmoor.endpoint.DivergenceMessageH\000\0226\n\007" +
+      "refused\030\003 \001(\0132#.ragwortmoor.endpoint.Ref" +
+      "usedAnswerH\000B\t\n\007outcome\"~\n\016EntriesMessag" +
+      "e\0224\n\005after\030\001 \001(\0132%.ragwortmoor.endpoint." +
+      "PositionMessage\0226\n\007entries\030\002 \003(\0132%.ragwo" +
+      "rtmoor.endpoint.LogEntryMessage\"\177\n\021Diver" +
+      "genceMessage\0223\n\004last\030\001 \001(\0132%.ragwortmoor" +
+      ".endpoint.PositionMessage\0225\n\006shared\030\002 \001(" +
+      "\0132%.ragwortmoor.endpoint.PositionMessage" +
+      "\"\202\002\n\017LogEntryMessage\0227\n\010position\030\001 \001(\0132%" +
+      ".ragwortmoor.endpoint.PositionMessage\022:\n" +
+      "\nterm_start\030\002 \001(\0132$.ragwortmoor.endpoint" +
+      ".TermStartEntryH\000\0221\n\005write\030\003 \001(\0132 .ragwo" +
+      "rtmoor.endpoint.WriteEntryH\000\022?\n\014cancella" +
+      "tion\030\004 \001(\0132\'.ragwortmoor.endpoint.Cancel" +
+      "lationEntryH\000B\006\n\004kind\"\020\n\016TermStartEntry\"" +
+      "\272\001\n\nWriteEntry\022<\n\010identity\030\001 \001(\0132*.ragwo" +
+      "rtmoor.endpoint.WriteIdentityMessage\0224\n\007" +
+      "changes\030\002 \003(\0132#.ragwortmoor.endpoint.Cha" +
+      "ngeMessage\0228\n\007results\030\003 \003(\0132\'.ragwortmoo" +
+      "r.endpoint.ReadRecordMessage\"Q\n\021Cancella" +
+      "tionEntry\022<\n\010identity\030\001 \001(\0132*.ragwortmoo" +
+      "r.endpoint.WriteIdentityMessage\":\n\rChang" +
+      "eMessage\022\013\n\003key\030\001 \001(\t\022\022\n\005value\030\002 \001(\tH\000\210\001" +
+      "\001B\010\n\006_value\"\267\001\n\rJournalRecord\022\025\n\013incarna" +
+      "tion\030\001 \001(\004H\000\0227\n\007promise\030\002 \001(\0132$.ragwortm" +
+      "oor.endpoint.JournalPromiseH\000\0226\n\005entry\030\003" +
+      " \001(\0132%.ragwortmoor.endpoint.LogEntryMess" +
+      "ageH\000\022\026\n\014truncated_to\030\004 \001(\004H\000B\006\n\004kind\"A\n" +
+      "\016JournalPromise\022\014\n\004term\030\001 \001(\004\022\017\n\007primary" +
+      "\030\002 \001(\010\022\020\n\010followed\030\003 \001(\t\"\321\003\n\022FaultSwitch" +
+      "Message\022L\n\023silence_connections\030\001 \001(\0132-.r" +
+      "agwortmoor.endpoint.SilenceConnectionsFa" +
+      "ultH\000\022\025\n\013silence_all\030\002 \001(\010H\000\022\034\n\022refuse_c" +
+      "onnections\030\003 \001(\010H\000\022\026\n\014delay_micros\030\004 \001(\004" +
+      "H\000\022@\n\rcross_answers\030\005 \001(\0132\'.ragwortmoor." +
+      "endpoint.CrossAnswersFaultH\000\022\033\n\021duplicat" +
+      "e_answers\030\006 \001(\005H\000\0224\n\007cut_off\030\007 \001(\0132!.rag" +
+      "wortmoor.endpoint.CutOffFaultH\000\022\032\n\020stop_" +
+      "replication\030\010 \001(\010H\000\022\021\n\007leaving\030\t \001(\010H\000\022 " +
+      "\n\026replication_lag_micros\030\n \001(\004H\000\0222\n\005clea" +
+      "r\030\013 \001(\0132!.ragwortmoor.endpoint.ClearFaul" +
+      "tsH\000B\006\n\004kind\"8\n\027SilenceConnectionsFault\022" +
+      "\016\n\006client\030\001 \001(\t\022\r\n\005count\030\002 \001(\005\"7\n\021CrossA" +
+      "nswersFault\022\r\n\005count\030\001 \001(\005\022\023\n\013hold_micro" +
+      "s\030\002 \001(\004\"S\n\013CutOffFault\022\r\n\005peers\030\001 \003(\t\0225\n" +
+      "\tdirection\030\002 \001(\0162\".ragwortmoor.endpoint." +
+      "CutDirection\"\r\n\013ClearFaults\"%\n\024FaultSwit" +
+      "chedMessage\022\r\n\005error\030\001 \001(\t*\270\002\n\022RefusalKi" +
+      "ndMessage\022\034\n\030REFUSAL_KIND_UNSPECIFIED\020\000\022" +
+      "\034\n\030REFUSAL_KIND_NOT_PRIMARY\020\001\022\027\n\023REFUSAL" +
+      "_KIND_FENCED\020\002\022\025\n\021REFUSAL_KIND_BUSY\020\003\022\031\n" +
+      "\025REFUSAL_KIND_CONFLICT\020\004\022\030\n\024REFUSAL_KIND" +
+      "_LEAVING\020\005\022!\n\035REFUSAL_KIND_CONNECTION_LI" +
+      "MIT\020\006\022\032\n\026REFUSAL_KIND_CANCELLED\020\007\022$\n REF" +
+      "USAL_KIND_UNKNOWN_TRANSACTION\020\010\022\034\n\030REFUS" +
+      "AL_KIND_BAD_REQUEST\020\t*]\n\014CutDirection\022\026\n" +
+      "\022CUT_DIRECTION_BOTH\020\000\022\031\n\025CUT_DIRECTION_I" +
+      "NBOUND\020\001\022\032\n\026CUT_DIRECTION_OUTBOUND\020\002B!\n\035" +
+      "org.ragwortmoor.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -477,7 +477,7 @@
     internal_static_ragwortmoor_endpoint_EndpointStatusMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_endpoint_EndpointStatusMessage_descriptor,
-        new java.lang.String[] { "PromisedTerm", "Primary", "Last", "History", "Running", "Queued", "Connections", "Leaving", });
+        new java.lang.String[] { "PromisedTerm", "Primary", "Last", "History", "Running", "Queued", "Connections", "Leaving", "Incarnation", });
     internal_static_ragwortmoor_endpoint_OperationMessage_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_ragwortmoor_endpoint_OperationMessage_fieldAccessorTable = new
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/EndpointStatusMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/EndpointStatusMessage.java
@@ -178,6 +178,21 @@
     return leaving_;
   }
 
+  public static final int INCARNATION_FIELD_NUMBER = 9;
+  private long incarnation_ = 0L;
+  /**
+   * <pre>
+   * Random number that changes when the endpoint lost its data; 0 if not stated.
+   * </pre>
+   *
+   * <code>int64 incarnation = 9;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public long getIncarnation() {
+    return incarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -216,6 +231,9 @@
     if (leaving_ != false) {
       output.writeBool(8, leaving_);
     }
+    if (incarnation_ != 0L) {
+      output.writeInt64(9, incarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -257,6 +275,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, leaving_);
     }
+    if (incarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, incarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -291,6 +313,8 @@
         != other.getConnections()) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (getIncarnation()
+        != other.getIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -325,6 +349,9 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -481,6 +508,7 @@
       queued_ = 0;
       connections_ = 0;
       leaving_ = false;
+      incarnation_ = 0L;
       return this;
     }
 
@@ -552,6 +580,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -614,6 +645,9 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (other.getIncarnation() != 0L) {
+        setIncarnation(other.getIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -690,6 +724,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              incarnation_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1260,6 +1299,50 @@
       return this;
     }
 
+    private long incarnation_ ;
+    /**
+     * <pre>
+     * Random number that changes when the endpoint lost its data; 0 if not stated.
+     * </pre>
+     *
+     * <code>int64 incarnation = 9;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+    /**
+     * <pre>
+     * Random number that changes when the endpoint lost its data; 0 if not stated.
+     * </pre>
+     *
+     * <code>int64 incarnation = 9;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(long value) {
+
+      incarnation_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Random number that changes when the endpoint lost its data; 0 if not stated.
+     * </pre>
+     *
+     * <code>int64 incarnation = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      incarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.endpoint.EndpointStatusMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/EndpointStatusMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/EndpointStatusMessageOrBuilder.java
@@ -84,4 +84,14 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * Random number that changes when the endpoint lost its data; 0 if not stated.
+   * </pre>
+   *
+   * <code>int64 incarnation = 9;</code>
+   * @return The incarnation.
+   */
+  long getIncarnation();
 }
--- a/core/src/main/java/org/ragwortmoor/state/EndpointStatus.java
+++ b/core/src/main/java/org/ragwortmoor/state/EndpointStatus.java
@@ -37,6 +37,20 @@
         this(promisedTerm, primary, last, history, running, queued, connections, leaving, 0);
     }
 
+    /** Returns this status with the incarnation of the endpoint. */
+    public EndpointStatus withIncarnation(long number) {
+        return new EndpointStatus(
+                promisedTerm,
+                primary,
+                last,
+                history,
+                running,
+                queued,
+                connections,
+                leaving,
+                number);
+    }
+
     /** Returns whether the log contains {@code position}. */
     public boolean contains(Position position) {
         return history.contains(last, position);
--- a/core/src/test/java/org/ragwortmoor/protocol/Generators.java
+++ b/core/src/test/java/org/ragwortmoor/protocol/Generators.java
@@ -85,7 +85,8 @@
     private static Arbitrary<EndpointStatus> status() {
         return Combinators.combine(
                         number(), flag(), position(), history(), count(), count(), count(), flag())
-                .as(EndpointStatus::new);
+                .as(EndpointStatus::new)
+                .flatMap(s -> Arbitraries.longs().map(s::withIncarnation));
     }
 
     private static Arbitrary<ReadRecord> record() {
@@ -170,7 +171,8 @@
                                         prepared,
                                         stopping,
                                         sentAt,
-                                        endpoints));
+                                        endpoints,
+                                        new ProxyReport.Acknowledged(sequence, rules, prepared)));
     }
 
     private record ReportHead(String proxy, long incarnation, String domain) {}
@@ -216,7 +218,9 @@
                                         pending,
                                         groups,
                                         shares,
-                                        keys));
+                                        keys,
+                                        sentAt * 31,
+                                        numbers[0] / 2));
     }
 
     static Arbitrary<PeerEnvelope> envelopes() {
--- a/standin/src/main/java/org/ragwortmoor/standin/ServerState.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/ServerState.java
@@ -17,6 +17,7 @@
 /** What the connections of one server share. Confined to its event loop but for the counters. */
 final class ServerState {
     final StandinSettings settings;
+    private final long incarnation;
     final StandinDatabase database;
     final EventLoop loop;
     final Faults faults;
@@ -37,7 +38,9 @@
     private final List<Runnable> faultListeners = new ArrayList<>();
     private long leavingDeadline;
 
-    ServerState(StandinSettings settings, StandinDatabase database, EventLoop loop) {
+    ServerState(
+            StandinSettings settings, StandinDatabase database, EventLoop loop, long incarnation) {
+        this.incarnation = incarnation;
         this.settings = settings;
         this.database = database;
         this.loop = loop;
@@ -48,7 +51,8 @@
     }
 
     EndpointStatus status() {
-        return database.status(slots.running(), slots.queued(), counted.size(), faults.leaving());
+        return database.status(slots.running(), slots.queued(), counted.size(), faults.leaving())
+                .withIncarnation(incarnation);
     }
 
     long delayMicros() {
--- a/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/StandinServer.java
@@ -53,7 +53,7 @@
         this.incarnation = incarnation;
         this.database = new StandinDatabase(journal, recovered);
         EventLoop loop = group.next();
-        this.state = new ServerState(settings, database, loop);
+        this.state = new ServerState(settings, database, loop, incarnation);
         this.replicator = new Replicator(state);
         this.listener = listen(loop);
         this.announcer = new Announcer(state, this::announcementNow);
