--- a/core/src/test/java/org/ragwortmoor/coordination/consensus/ConsensusNodeTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/consensus/ConsensusNodeTest.java
@@ -168,13 +168,17 @@
                 .isFalse();
     }
 
-    /** Guards against counting the sync of an entry that was replaced meanwhile. */
+    /** Guards against counting the sync of an entry that was replaced before or after it. */
     @Test
     void syncOfAReplacedEntryDoesNotCount() {
         LogEntry first = new LogEntry(3, 3, EntryKind.NOOP, ByteString.EMPTY);
         LogEntry second = new LogEntry(4, 3, EntryKind.NOOP, ByteString.EMPTY);
         receive(new ConsensusMessage.AppendRequest(B, A, 3, 2, 2, 0, now, List.of(first)));
-        receive(new ConsensusMessage.AppendRequest(C, A, 4, 2, 2, 3, now, List.of(second)));
+        handle(new ConsensusEvent.StorageSynced(new Position(3, 3)));
+        List<ConsensusAction> replaced =
+                receive(new ConsensusMessage.AppendRequest(C, A, 4, 2, 2, 3, now, List.of(second)));
+        assertThat(replaced).noneMatch(action -> action instanceof ConsensusAction.Send);
+        assertThat(applied(replaced)).containsExactly(1L, 2L);
         List<ConsensusAction> stale = handle(new ConsensusEvent.StorageSynced(new Position(3, 3)));
         assertThat(stale).isEmpty();
         List<ConsensusAction> synced = handle(new ConsensusEvent.StorageSynced(new Position(4, 3)));
--- a/core/src/test/java/org/ragwortmoor/coordination/consensus/ReplicatedLogTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/consensus/ReplicatedLogTest.java
@@ -282,6 +282,29 @@
         group.awaitAgreement();
     }
 
+    /** Guards against sending a vote that the disk did not keep. */
+    @Test
+    void voteThatWasNotSavedIsNotSent() {
+        VirtualGroup group = VirtualGroup.of(14, 3);
+        ControlProcess voter = group.otherThan(group.awaitLeader());
+        group.propose(3, "c");
+        voter.storage.failSyncs(true);
+        var request =
+                new ConsensusMessage.VoteRequest(
+                        group.leader().log.node().self(),
+                        voter.log.node().self(),
+                        99,
+                        false,
+                        true,
+                        1000,
+                        99,
+                        List.of());
+        List<ConsensusAction> actions =
+                voter.log.handle(new ConsensusEvent.Received(request), group.now);
+        assertThat(actions).isEmpty();
+        assertThat(voter.log.node().role()).isEqualTo(Role.FAILED);
+    }
+
     /** Guards against a write gap of a whole election deadline at a planned stop. */
     @Test
     void plannedStopHandsOverAtOnce() {
