Cancel a key for good when a caller asks for its outcome

Cause: a query of the outcome cancelled only the attempts so far and answered "not run"; another proxy that still held the write was refused as cancelled and then executed the next attempt, so the write ran after "not run" was told. Ruled out: having callers wait for the original's deadline before they ask, as a caller that lost its proxy does not know it; and refusing every cancelled attempt, as a proxy that lost an answer must be able to retry. Before: writeCancelledByAnOutcomeQueryNeverRuns failed (the write was executed). The former test cancelledWriteThatIsSentAnewIsExecuted stated the unsafe rule; it is replaced by one test per case: cancelled by a query never runs, cancelled by another proxy's retry runs under the next attempt. Also: frames between peers may have 5 MiB, because one log entry may have 4 MiB and would otherwise never reach another member.

--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -65,7 +65,7 @@
         loop = new ControlLoop(thread, log, opened.machine, config.members());
         log.notices().forEach(notice -> LOG.warn("recovery: {}", notice));
         TransportMetrics transportMetrics = new TransportMetrics(registry);
-        TransportSettings transport = TransportSettings.defaults(config.peerHost());
+        TransportSettings transport = TransportSettings.forPeers(config.peerHost());
         peers =
                 new PeerClient(
                         transport,
--- a/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
@@ -89,7 +89,7 @@
                         this);
         control.start(
                 new PeerClient(
-                        transport,
+                        TransportSettings.forPeers(config.httpHost()),
                         config.name(),
                         workers.pool(),
                         control,
--- a/app/src/main/java/org/ragwortmoor/transport/TransportSettings.java
+++ b/app/src/main/java/org/ragwortmoor/transport/TransportSettings.java
@@ -25,6 +25,8 @@
         int queueLimit,
         int minBackoffMillis,
         int maxBackoffMillis) {
+    /** A log entry has 4 MiB at most; the rest is room for the message around it. */
+    private static final int PEER_FRAME_BYTES = 5 << 20;
 
     /**
      * Returns the defaults: timeouts of 1 s, the time after which a silent connection counts as
@@ -43,4 +45,20 @@
                 50,
                 1_000);
     }
+
+    /** Returns the defaults for processes that exchange rule files and log entries of 4 MiB. */
+    public static TransportSettings forPeers(String localHost) {
+        TransportSettings defaults = defaults(localHost);
+        FrameLimits limits = new FrameLimits(PEER_FRAME_BYTES);
+        return new TransportSettings(
+                localHost,
+                defaults.threads(),
+                limits,
+                defaults.connectTimeoutMillis(),
+                defaults.helloTimeoutMillis(),
+                4 * limits.maxBytes(),
+                defaults.queueLimit(),
+                defaults.minBackoffMillis(),
+                defaults.maxBackoffMillis());
+    }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/ResolveTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/ResolveTask.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.ragwortmoor.state.Position;
+import org.ragwortmoor.state.endpoint.WriteIdentity;
 
 /** A caller's question for the outcome of a write. */
 final class ResolveTask extends Task {
@@ -12,7 +13,9 @@
         this.query =
                 new OutcomeQuery(
                         this,
-                        resolve.identity(),
+                        // A proxy that holds the write may not know of this question, so the
+                        // cancellation must cover the attempts that it would still make.
+                        WriteIdentity.everyAttempt(resolve.identity().key()),
                         new OutcomeQuery.Listener() {
                             @Override
                             public void executed(Position position) {
@@ -22,7 +25,10 @@
                             @Override
                             public void cancelled() {
                                 ResolveTask.super.refuse(
-                                        ErrorKind.CANCELLED, "the write was not executed", 1);
+                                        ErrorKind.CANCELLED,
+                                        "the write was not executed and its key is cancelled; send"
+                                                + " it again under a new key",
+                                        1);
                             }
                         });
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/WriteTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/WriteTask.java
@@ -28,7 +28,8 @@
 
     @Override
     void arrived() {
-        if (write.operations().isEmpty() || attempt < 1 || write.identity().key().isEmpty()) {
+        boolean validAttempt = attempt >= 1 && attempt < WriteIdentity.LAST_ATTEMPT;
+        if (write.operations().isEmpty() || !validAttempt || write.identity().key().isEmpty()) {
             refuse(
                     ErrorKind.BAD_REQUEST,
                     "a write needs operations, an idempotency key and an attempt from 1 on",
@@ -124,10 +125,18 @@
     }
 
     /**
-     * A caller that sends a cancelled write anew wants it executed; every earlier attempt stays
-     * refused. A caller that is gone may have been told "not run" elsewhere.
+     * Another proxy that has the same write cancelled an unanswered attempt of its own; this
+     * request may still run. A key that an outcome query cancelled never runs: that caller was told
+     * "not run".
      */
     private void executeAnew(int cancelledAttempt) {
+        if (cancelledAttempt == WriteIdentity.LAST_ATTEMPT) {
+            refuse(
+                    ErrorKind.CANCELLED,
+                    "a query of its outcome cancelled the write; send it again under a new key",
+                    0);
+            return;
+        }
         if (isCallerLost() || (refusedAsCancelled && !ctx().tryRetry())) {
             refuse(ErrorKind.CANCELLED, "the write was cancelled", 0);
             return;
--- a/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
@@ -171,16 +171,29 @@
         assertThat(proxy.engine.dump().counters()).containsEntry(Counter.RESETS, 2L);
     }
 
-    /** Guards against a cancelled key that can never be used again. */
+    /** Guards against a write that another proxy still holds and runs after "not run" was told. */
     @Test
-    void cancelledWriteThatIsSentAnewIsExecuted() {
+    void writeCancelledByAnOutcomeQueryNeverRuns() {
         group.time.runUntil(300 * MILLI);
         WriteIdentity identity = new WriteIdentity("w1", 1);
         CallerAnswer resolved =
                 call(new CallerRequest.Resolve(++lastId, "s", identity, deadline()));
         assertThat(refusal(resolved)).isEqualTo(ErrorKind.CANCELLED);
+        int entries = group.primary().log.size();
+        assertThat(refusal(call(increment("k", "w1")))).isEqualTo(ErrorKind.CANCELLED);
+        assertThat(group.primary().log).hasSize(entries);
+    }
+
+    /** Guards against losing a write whose first attempt another proxy gave up. */
+    @Test
+    void writeWhoseEarlierAttemptIsCancelledRunsUnderTheNextOne() {
+        group.time.runUntil(300 * MILLI);
+        FakeEndpoint primary = group.primary();
+        primary.log.add(
+                new FakeEndpoint.Entry(
+                        primary.log.get(0).term(), new WriteIdentity("w1", 1), List.of(), true));
         assertThat(call(increment("k", "w1"))).isInstanceOf(CallerAnswer.Done.class);
-        assertThat(group.primary().log.get(2).identity()).isEqualTo(new WriteIdentity("w1", 2));
+        assertThat(primary.log.get(2).identity()).isEqualTo(new WriteIdentity("w1", 2));
     }
 
     /** Guards against taking a slow statement for a silent connection, and the reverse. */
