--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/history/package-info.java
@@ -0,0 +1,2 @@
+/** Histories of concurrent callers and the check of the promises on them. */
+package org.ragwortmoor.history;
