--- a/app/src/main/java/org/ragwortmoor/cli/Commands.java
+++ b/app/src/main/java/org/ragwortmoor/cli/Commands.java
@@ -15,6 +15,18 @@
                             "demo",
                             "Runs a whole deployment in one process and checks the promises.",
                             DemoCommand::new),
+                    new CommandEntry(
+                            "load",
+                            "Sends a workload, writes results and checks the history.",
+                            LoadCommand::new),
+                    new CommandEntry(
+                            "check-history",
+                            "Checks the history file of a load.",
+                            CheckHistory::new),
+                    new CommandEntry(
+                            "measure",
+                            "Takes a measure of the design page beside its baseline.",
+                            MeasureCommand::new),
                     new CommandEntry("rules check", "Checks a rule file.", RulesCheck::new),
                     new CommandEntry(
                             "rules diff",
--- a/app/src/main/java/org/ragwortmoor/history/HistoryIndex.java
+++ b/app/src/main/java/org/ragwortmoor/history/HistoryIndex.java
@@ -17,7 +17,7 @@
     private final List<HistoryRecord> records;
     private final Map<GroupKey, RecordHistory> byKey = new LinkedHashMap<>();
     private final Map<GroupKey, WriteFact> byIdempotencyKey = new LinkedHashMap<>();
-    private final Map<HistoryRecord, List<Seen>> seen = new IdentityHashMap<>();
+    private final IdentityHashMap<HistoryRecord, List<Seen>> seen = new IdentityHashMap<>();
     private final Map<String, List<HistoryRecord>> bySession = new LinkedHashMap<>();
 
     /** A key within a group; also used for idempotency keys. */
