--- a/app/src/main/java/org/ragwortmoor/cli/ProcessRunner.java
+++ b/app/src/main/java/org/ragwortmoor/cli/ProcessRunner.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.cli;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -31,13 +32,19 @@
                         },
                         "planned-stop");
         Runtime.getRuntime().addShutdownHook(hook);
-        stopped.join();
+        ExitCode code = ExitCode.OK;
+        try {
+            stopped.join();
+        } catch (CompletionException e) {
+            LOG.error("the process failed", e.getCause());
+            code = ExitCode.ENVIRONMENT;
+        }
         try {
             node.close();
         } catch (Exception e) {
             LOG.warn("the process did not close cleanly", e);
         }
-        return ExitCode.OK;
+        return code;
     }
 
     private static void await(CompletableFuture<Void> stopped, long millis) {
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLoop.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -51,6 +52,7 @@
     private final Map<String, PeerListener.Reply> proxies = new HashMap<>();
     private final Map<String, Consumer<OperatorAnswer>> operators = new HashMap<>();
     private final TokenKeyBootstrap tokenKey = new TokenKeyBootstrap(new SecureRandom());
+    private final CompletableFuture<Void> failure = new CompletableFuture<>();
     private PeerSender peers;
     private EndpointCaller endpoints;
     private boolean ready;
@@ -76,14 +78,13 @@
     void start(PeerSender sender, EndpointCaller caller) {
         peers = sender;
         endpoints = caller;
-        thread.scheduleAtFixedRate(
-                Workers.guarded(this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        thread.scheduleAtFixedRate(guarded(this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Runs a task on the loop and carries out what follows from it. */
     void run(Runnable task) {
         thread.execute(
-                Workers.guarded(
+                guarded(
                         () -> {
                             checkReady();
                             task.run();
@@ -91,6 +92,29 @@
                         }));
     }
 
+    /**
+     * A broken invariant ends the process: what it would do next could contradict what it promised
+     * to others. Its durable state is valid, so it can be started again.
+     */
+    private Runnable guarded(Runnable task) {
+        return () -> {
+            if (failure.isDone()) {
+                return;
+            }
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.error("the control process stops; start it again and report this", e);
+                failure.completeExceptionally(e);
+            }
+        };
+    }
+
+    /** Returns a future that fails when the process must stop. */
+    CompletableFuture<Void> failure() {
+        return failure;
+    }
+
     /** Returns the replicated log; to be used on the loop only. */
     ReplicatedLog log() {
         return log;
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -89,6 +89,7 @@
                         config.maxRequestBytes(),
                         new OperatorService(loop, workers.timer(), config.httpAddresses()),
                         this);
+        loop.failure().whenComplete((done, e) -> stopped.completeExceptionally(e));
         loop.start(peers::send, endpoints);
         // Messages are accepted last, when everything that they can cause is in place.
         server =
