Answer reads whose replication wait ends as it begins

A session read waited for a replica while a leaving replica already had the position: the wait ended inside the call that began it, before the read had left its queue, so it was neither requeued nor run and its caller waited for the whole deadline. The end of a wait is now a timer of its own.

A planned stop waits until the process has closed, because the virtual machine halts when its hooks have ended, and an endpoint announces that it is leaving for 3 s instead of stopping at once, which had cut open transactions (CONNECTION_LOST at commit).

--- a/app/src/main/java/org/ragwortmoor/cli/EndpointCommand.java
+++ b/app/src/main/java/org/ragwortmoor/cli/EndpointCommand.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.protocol.FrameLimits;
 import org.ragwortmoor.settings.EndpointSettings;
+import org.ragwortmoor.standin.FaultSwitch;
 import org.ragwortmoor.standin.StandinProcess;
 import org.ragwortmoor.standin.StandinSettings;
 
@@ -17,6 +18,8 @@
     /** New work ends within 3 s of the announcement that the endpoint is leaving. */
     private static final long LEAVING_GRACE_MILLIS = 3_000;
 
+    private static final long STOP_MILLIS = 10_000;
+
     EndpointCommand() {
         super(EndpointSettings.ROLE);
     }
@@ -32,7 +35,20 @@
         }
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         return ProcessRunner.runUntilStopped(
-                process, () -> stopped.complete(null), stopped, LEAVING_GRACE_MILLIS);
+                process, () -> leave(process, stopped), stopped, STOP_MILLIS);
+    }
+
+    /**
+     * Announces that the endpoint is leaving and stops it when new work has ended, so that the
+     * group has another primary and no proxy waits for an answer.
+     */
+    private static void leave(StandinProcess process, CompletableFuture<Void> stopped) {
+        process.server()
+                .apply(new FaultSwitch.Leaving(true))
+                .thenRunAsync(
+                        () -> stopped.complete(null),
+                        CompletableFuture.delayedExecutor(
+                                LEAVING_GRACE_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     private static StandinSettings standin(EndpointSettings settings) {
--- a/app/src/main/java/org/ragwortmoor/cli/ProcessRunner.java
+++ b/app/src/main/java/org/ragwortmoor/cli/ProcessRunner.java
@@ -11,6 +11,9 @@
 final class ProcessRunner {
     private static final Logger LOG = LoggerFactory.getLogger(ProcessRunner.class);
 
+    /** Closing the listeners and files takes less; a hanging close must not keep the process. */
+    private static final long CLOSE_MILLIS = 10_000;
+
     private ProcessRunner() {}
 
     /**
@@ -23,11 +26,16 @@
      */
     static ExitCode runUntilStopped(
             AutoCloseable node, Runnable drain, CompletableFuture<Void> stopped, long stopMillis) {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
         Thread hook =
                 new Thread(
                         () -> {
                             drain.run();
-                            await(stopped, stopMillis);
+                            // The virtual machine halts when its hooks have ended, also while
+                            // the last answers are still being written.
+                            if (await(stopped, stopMillis)) {
+                                await(closed, CLOSE_MILLIS);
+                            }
                         },
                         "planned-stop");
         Runtime.getRuntime().addShutdownHook(hook);
@@ -37,18 +45,22 @@
         } catch (Exception e) {
             LOG.warn("the process did not close cleanly", e);
         }
+        closed.complete(null);
         return ExitCode.OK;
     }
 
-    private static void await(CompletableFuture<Void> stopped, long millis) {
+    /** Returns whether the step ended in time. */
+    private static boolean await(CompletableFuture<Void> step, long millis) {
         try {
-            stopped.get(millis, TimeUnit.MILLISECONDS);
+            step.get(millis, TimeUnit.MILLISECONDS);
+            return true;
         } catch (TimeoutException e) {
-            LOG.warn("requests were still in flight after {} ms; stopping now", millis);
+            LOG.warn("the planned stop was not complete after {} ms; stopping now", millis);
         } catch (ExecutionException e) {
             LOG.warn("the planned stop failed", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        return false;
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/ReadTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/ReadTask.java
@@ -60,7 +60,9 @@
                                 listener(
                                         () -> {
                                             timer.cancel();
-                                            endReplicationWait();
+                                            // The wait may end while it begins, when the
+                                            // request has not left the queue yet.
+                                            ctx().after(0, this::endReplicationWait);
                                         },
                                         () -> {}));
     }
