--- a/app/src/main/java/org/ragwortmoor/cli/OperatorCommand.java
+++ b/app/src/main/java/org/ragwortmoor/cli/OperatorCommand.java
@@ -15,7 +15,9 @@
     @Option(
             name = "--" + OPERATOR,
             metaVar = "NAME",
-            usage = "who asks for the change; default: RAGWORTMOOR_OPERATOR")
+            usage =
+                    "who asks for the change; default: RAGWORTMOOR_OPERATOR, then the user of the"
+                            + " system")
     private String operator;
 
     @Option(
@@ -32,15 +34,7 @@
 
     @Override
     final ApiResult request(ApiClient client, Console console) {
-        String name =
-                operator != null ? operator : console.environment().get(Setting.variable(OPERATOR));
-        if (name == null || name.isBlank()) {
-            return new ApiResult(
-                    ExitCode.USAGE,
-                    Console.object(),
-                    "no operator is given; name who asks for the change with --operator or "
-                            + Setting.variable(OPERATOR));
-        }
+        String name = operator(console);
         io.vavr.control.Either<ApiResult, Change> change = change(console);
         if (change.isLeft()) {
             return change.getLeft();
@@ -52,4 +46,12 @@
         body.put("operationId", id);
         return client.post(change.get().path(), body);
     }
+
+    private String operator(Console console) {
+        if (operator != null) {
+            return operator;
+        }
+        String fromEnvironment = console.environment().get(Setting.variable(OPERATOR));
+        return fromEnvironment != null ? fromEnvironment : System.getProperty("user.name", "");
+    }
 }
