Add export and verification of a departing partner's records

The hand-back needs files that are complete and current as of the order, and a manifest that can be checked without the database. The export reads by pages in a session that contains a confirmed position, refuses while sessions may write the records unless this is stated, and confirms the pages by a second pass.

--- a/app/src/main/java/org/ragwortmoor/cli/Commands.java
+++ b/app/src/main/java/org/ragwortmoor/cli/Commands.java
@@ -1,6 +1,8 @@
 package org.ragwortmoor.cli;
 
 import java.util.List;
+import org.ragwortmoor.handback.ExportCommand;
+import org.ragwortmoor.handback.VerifyCommand;
 
 /** The registry of subcommands; add a line to add a command. */
 public final class Commands {
@@ -54,6 +56,14 @@
                             "query outcome",
                             "Asks for the outcome of an earlier write.",
                             QueryOutcome::new),
+                    new CommandEntry(
+                            "hand-back export",
+                            "Exports the records of a departing partner.",
+                            ExportCommand::new),
+                    new CommandEntry(
+                            "hand-back verify",
+                            "Checks an export against its manifest.",
+                            VerifyCommand::new),
                     new CommandEntry(
                             "endpoints drain",
                             "Keeps new work away from an endpoint.",
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/handback/PrefixState.java
@@ -0,0 +1,71 @@
+package org.ragwortmoor.handback;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * How far the export of one group and prefix has come.
+ *
+ * @param file name of the file with the records
+ * @param line number of the partner line in the rule file
+ * @param requester who requested the partner line
+ * @param group group of the records
+ * @param prefix prefix of the records
+ * @param barrier confirmed position that every page contains; empty before the first page
+ * @param after last key that the scan reached
+ * @param bytes synced length of the file
+ * @param count records in the file
+ * @param pages pages, listed only if sessions may write during the export
+ * @param end confirmed position after the last page; empty until the prefix is complete
+ * @param confirmed whether a second pass after {@code end} found the same records
+ * @param sha256 digest of the file; empty until the prefix is complete
+ */
+record PrefixState(
+        String file,
+        int line,
+        String requester,
+        String group,
+        String prefix,
+        String barrier,
+        String after,
+        long bytes,
+        long count,
+        List<PageMark> pages,
+        String end,
+        boolean confirmed,
+        String sha256) {
+
+    /** The position at which a page was read, and the last key that it covers. */
+    record PageMark(String scannedTo, String position) {}
+
+    PrefixState {
+        pages = List.copyOf(pages);
+    }
+
+    /** Returns the state before the first page. */
+    PrefixState started(String position) {
+        return new PrefixState(
+                file, line, requester, group, prefix, position, "", 0, 0, List.of(), "", false, "");
+    }
+
+    /** Returns the state after a page. */
+    PrefixState withPage(String scannedTo, long newBytes, long newCount, List<PageMark> marks) {
+        List<PageMark> all = new ArrayList<>(pages);
+        all.addAll(marks);
+        return new PrefixState(
+                file, line, requester, group, prefix, barrier, scannedTo, newBytes, newCount, all,
+                end, confirmed, sha256);
+    }
+
+    /** Returns the state of a complete prefix. */
+    PrefixState completed(String position, boolean agreed, String digest) {
+        return new PrefixState(
+                file, line, requester, group, prefix, barrier, after, bytes, count, pages, position,
+                agreed, digest);
+    }
+
+    /** Returns whether nothing is left to do. */
+    boolean complete() {
+        return !sha256.isEmpty();
+    }
+}
