Make the test find records that an interrupted page left unsynced

The text that the test left behind the synced state was shorter than the next page, which overwrote it, so a missing cut of the file was not noticed. It is now longer than all later pages. Without the cut in ExportFiles.append the test fails; with it all tests of the package pass.

--- a/app/src/test/java/org/ragwortmoor/handback/ExportTest.java
+++ b/app/src/test/java/org/ragwortmoor/handback/ExportTest.java
@@ -79,7 +79,9 @@
                 assertThatThrownBy(() -> export(deployment, out, false, () -> stopAt(pages, 4)))
                         .isInstanceOf(Interruption.class);
                 Path records = out.resolve("records-0001.jsonl");
-                Files.writeString(records, "{\"key\":\"c/un", StandardOpenOption.APPEND);
+                // Longer than all later pages, so that overwriting it does not hide it.
+                String unsynced = "{\"key\":\"c/un".repeat(2_000);
+                Files.writeString(records, unsynced, StandardOpenOption.APPEND);
 
                 PrefixState interrupted = state(out);
                 assertThat(interrupted.count()).isEqualTo(21);
