--- a/app/src/main/java/org/ragwortmoor/daemon/OperatorService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/OperatorService.java
@@ -238,7 +238,7 @@
                                 + " widens the scopes and waits until these proxies have prepared"
                                 + " it: "
                                 + dump.waitingFor()
-                                + "; remove stopped ones with ragwortmoor members remove"
+                                + "; remove stopped ones with ragwortmoor proxies remove"
                         : "version "
                                 + version
                                 + " is accepted; not yet known to be in force on "
