--- a/app/src/test/java/org/ragwortmoor/process/ControlFailureTest.java
+++ b/app/src/test/java/org/ragwortmoor/process/ControlFailureTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards rules, votes and daily service against failures of control processes. */
@@ -24,6 +25,12 @@
     /** The rules lease of 2 s, and 1 s for the report and its answer that were on the way. */
     private static final long LEASE_OVER_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** The share lease of 3 s, and 1 s for the report and its answer that were on the way. */
+    private static final long SHARES_OVER_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Enough for the proxy to learn that a label is long. */
+    private static final int LONG_SAMPLES = 30;
+
     private static final String SCOPED =
             """
             scope fleet-colina partner/ # requested by Court: order 12/3
@@ -203,6 +210,33 @@
         }
     }
 
+    /**
+     * Long work needs permits, which are leased; a proxy without control must not lose them all.
+     */
+    @Test
+    @Tag("known-red")
+    void longWorkGoesOnWithoutControl() {
+        String token = ProcessHarness.session(harness.proxy(1), "report");
+        for (int i = 0; i < LONG_SAMPLES; i++) {
+            JsonNode written = longWrite(token);
+            assertThat(Api.outcome(written)).as("%s", written).isEqualTo("done");
+        }
+        harness.controls().forEach(ManagedProcess::kill);
+        long end = System.nanoTime() + SHARES_OVER_NANOS;
+        harness.await("the end of the shares", () -> System.nanoTime() - end > 0);
+        JsonNode written = longWrite(token);
+        assertThat(Api.outcome(written)).as("%s", written).isEqualTo("done");
+    }
+
+    private JsonNode longWrite(String token) {
+        String body =
+                ("{'token':'%s','group':'%s','label':'report','serviceMicros':100000,"
+                                + "'deadlineMillis':10000,"
+                                + "'operations':[{'op':'put','key':'report','value':'r'}]}")
+                        .formatted(token, GROUP);
+        return Api.post(harness.proxy(1), "/v1/write", body);
+    }
+
     @Test
     void ofTwoOperatorsWithEqualVersionsOneWinsAndAResendGetsTheFirstResult() {
         long version = rulesVersion();
--- a/app/src/test/java/org/ragwortmoor/process/ManagedProcess.java
+++ b/app/src/test/java/org/ragwortmoor/process/ManagedProcess.java
@@ -35,6 +35,8 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        // The configuration of tests would silence the logs of the processes.
+        command.add("-Dlogback.configurationFile=logback.xml");
         command.addAll(List.of("-cp", classPath(), "org.ragwortmoor.cli.Main"));
         command.addAll(arguments);
         return command;
