Admit long work without a lease and count only granted floors

Cause: long permits existed only in the share lease, so that long work stopped for good 3 s after the last control process was lost; and a proxy kept one connection per endpoint even where the leader had granted it no floor, which could exceed the limit with more proxies than floors. Ruled out: a floor of one permit for each proxy, because 7 proxies do not fit into slots - 1 permits. Without a lease a proxy now starts one long statement while the last status shows a slot beside one for short work. A status of an incarnation that the control group has not described is ignored, a refused query of an outcome is answered "unknown", and an embedded deployment chooses new ports when one was taken.

--- a/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
@@ -234,16 +234,16 @@
     public CompletionStage<Answer> outcome(OutcomeBody body) {
         Either<ErrorBody, Target> target = target(body.token(), body.group());
         if (target.isLeft()) {
-            return refused(target.getLeft());
+            return undecided(body, target.getLeft());
         }
         if (body.key() == null || body.key().isEmpty()) {
-            return refused(new ErrorBody("BAD_REQUEST", "state the key of the write", 0));
+            return undecided(body, new ErrorBody("BAD_REQUEST", "state the key of the write", 0));
         }
         SessionToken session = target.get().session;
         Either<ErrorBody, Long> deadline =
                 requests.deadline(body.deadlineMillis(), clock.getAsLong());
         if (deadline.isLeft()) {
-            return refused(deadline.getLeft());
+            return undecided(body, deadline.getLeft());
         }
         CallerRequest request =
                 new CallerRequest.Resolve(
@@ -255,6 +255,12 @@
                 .thenApply(answer -> answers.write(answer, session, body.group(), body.key()));
     }
 
+    /** A refused question says nothing about the write that it asks for. */
+    private static CompletionStage<Answer> undecided(OutcomeBody body, ErrorBody error) {
+        return CompletableFuture.completedFuture(
+                Answer.unknown(error.kind(), error.message(), body.key()));
+    }
+
     private Either<ErrorBody, Target> transactionTarget(TransactionBody body) {
         if (body.transaction() == null || body.transaction().isEmpty()) {
             String message = "transaction is missing; begin one with POST /v1/transactions";
--- a/app/src/main/java/org/ragwortmoor/daemon/EmbeddedDeployment.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/EmbeddedDeployment.java
@@ -26,6 +26,9 @@
     private static final long MAX_REQUEST_BYTES = 1 << 20;
     private static final int PROXY_WORKERS = 2;
 
+    /** Another process can take a port between its choice and its use. */
+    private static final int START_ATTEMPTS = 3;
+
     private final Shape shape;
     private final Path folder;
     private final Map<String, String> members = new LinkedHashMap<>();
@@ -108,14 +111,22 @@
      * @throws IOException if a port is taken or the folder cannot be used
      */
     public static EmbeddedDeployment start(Shape shape, Path folder) throws IOException {
-        EmbeddedDeployment deployment = new EmbeddedDeployment(shape, folder);
-        try {
-            deployment.startAll();
-        } catch (IOException | RuntimeException e) {
-            deployment.close();
-            throw e;
+        for (int attempt = 1; ; attempt++) {
+            EmbeddedDeployment deployment =
+                    new EmbeddedDeployment(shape, folder.resolve("start-" + attempt));
+            try {
+                deployment.startAll();
+                return deployment;
+            } catch (IOException e) {
+                deployment.close();
+                if (attempt == START_ATTEMPTS) {
+                    throw e;
+                }
+            } catch (RuntimeException e) {
+                deployment.close();
+                throw e;
+            }
         }
-        return deployment;
     }
 
     private void startAll() throws IOException {
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Member.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Member.java
@@ -72,6 +72,10 @@
 
     /** Keeps the answer to the latest request; an answer that was overtaken is not newer. */
     void reported(EndpointStatus next, long sequence) {
+        // An endpoint that lost its data counts again once the control group describes it anew.
+        if (next.incarnation() != 0 && next.incarnation() != info.incarnation()) {
+            return;
+        }
         if (status == null || sequence > statusSequence) {
             status = next;
             statusSequence = sequence;
@@ -152,11 +156,29 @@
     /** Returns whether limits, not counting connections, allow one more statement. */
     boolean admits(WorkClass workClass, long now) {
         if (workClass == WorkClass.LONG) {
-            return longRunning < share.longPermits(now);
+            return longRunning < longPlaces(now);
         }
         return limiter.admits(shortRunning, now);
     }
 
+    /**
+     * Returns how many long statements may be in flight.
+     *
+     * <p>Without a lease, as when no control process can be reached, one may start while the last
+     * status shows a slot beside one for short work. The bound over all proxies is then observed
+     * and not enforced: a status is up to 100 ms old.
+     */
+    int longPlaces(long now) {
+        if (share.leased(now)) {
+            return share.longPermits(now);
+        }
+        if (status == null) {
+            return 0;
+        }
+        int forLongWork = Math.max(1, info.slots() - 1);
+        return status.running() + status.queued() < forLongWork ? 1 : 0;
+    }
+
     /** Returns the expected wait in the endpoint, by which candidates are compared. */
     double load() {
         int slots = Math.max(1, info.slots() - longRunning);
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Placement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Placement.java
@@ -52,7 +52,7 @@
     private double places(Member member, WorkClass workClass) {
         int share = member.share().connections(ctx.now());
         return workClass == WorkClass.LONG
-                ? member.share().longPermits(ctx.now())
+                ? member.longPlaces(ctx.now())
                 : Math.min(share, member.limiter().limit());
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Share.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Share.java
@@ -2,16 +2,13 @@
 
 /** How much of an endpoint this proxy may use: a floor, and more until a lease ends. */
 final class Share {
-    /** Every member proxy has a floor of at least one connection. */
-    private static final int SMALLEST_FLOOR = 1;
-
-    private int floor = SMALLEST_FLOOR;
+    private int floor;
     private int leased;
     private int permits;
     private long deadline = Long.MIN_VALUE;
 
     void lease(EngineEvent.ShareLeased lease) {
-        floor = Math.max(SMALLEST_FLOOR, lease.floor());
+        floor = lease.floor();
         leased = lease.connections();
         permits = lease.longPermits();
         deadline = lease.deadline();
@@ -25,6 +22,10 @@
         return now < deadline ? Math.max(floor, leased) : floor;
     }
 
+    boolean leased(long now) {
+        return now < deadline;
+    }
+
     int longPermits(long now) {
         return now < deadline ? permits : 0;
     }
