--- a/app/src/test/java/org/ragwortmoor/cli/CommandsTest.java
+++ b/app/src/test/java/org/ragwortmoor/cli/CommandsTest.java
@@ -199,11 +199,24 @@
         assertThat(run("status")).isEqualTo(2);
         Map<String, String> env =
                 Map.of("RAGWORTMOOR_ADDRESSES", serve(200, "{\"a\":[{\"b\":1}]}"));
-        assertThat(run(Commands.ALL, env, "status")).isZero();
+        assertThat(run(Commands.ALL, env, "dump")).isZero();
         assertThat(out.toString(StandardCharsets.UTF_8))
                 .isEqualToNormalizingNewlines("a:\n  -\n    b: 1\n");
     }
 
+    /** Guards against a process that cannot be reached hiding the others. */
+    @Test
+    void statusShowsEachProcessAndTheLeadersGroups() throws IOException {
+        String leader = serve(200, "{\"leads\":true,\"groups\":[{\"group\":\"g\"}]}");
+        String lost = unreachable();
+        String follower = serve(200, "{\"leads\":false,\"groups\":[{\"group\":\"old\"}]}");
+        String addresses = String.join(",", lost, follower, leader);
+        assertThat(run("status", "--addresses", addresses)).isZero();
+        assertThat(out.toString(StandardCharsets.UTF_8))
+                .contains("address: " + lost, "cannot be reached", "leads: true", "group: g")
+                .doesNotContain("group: old");
+    }
+
     private int apply(String file, String addresses) {
         return run("rules", "apply", file, "--expect-version", "7", "--addresses", addresses);
     }
