Switch a leaving primary within a second of the last promotion

Cause: the pacing against flapping held back every promotion, also that of a primary that announces its leaving: 4 s after three and 8 s after four promotions within a minute. Proxies send a leaving primary nothing new, so the wait was a write gap, and strong reads with the default deadline of 5 s were refused with NO_PRIMARY (seen in EndpointFailureTest.plannedStopOfThePrimaryCutsNoRequestAndNoTransaction when the other tests of the class had run within the minute before).

Ruled out: the open transaction (it committed), a lost announcement (the reads were refused after exactly their deadline, the writes with 30 s passed).

Before: ControlCoreTest.aLeavingPrimaryIsSwitchedSoonAfterSeveralFailures fails, the leaving primary is still the primary 2 s after its announcement.

Conclusion: only a reason that may be wrong (a suspicion, a foreign promise) backs off further and further. A certain one (leaving, replaced, restarted without data or role) waits 1 s after the last promotion at most.

--- a/core/src/main/java/org/ragwortmoor/coordination/control/GroupPromotion.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/GroupPromotion.java
@@ -93,7 +93,7 @@
             return;
         }
         majorityAt = Long.MAX_VALUE;
-        Option<String> reason = trigger.reason(state, highestPromised, now);
+        Option<PromotionTrigger.Reason> reason = trigger.reason(state, highestPromised, now);
         if (reason.isDefined()) {
             begin(state, reason.get(), now);
         } else if (state.term() == 0) {
@@ -131,12 +131,12 @@
         step(state, now);
     }
 
-    private void begin(GroupState state, String reason, long now) {
-        long notBefore = pacing.notBefore(now);
+    private void begin(GroupState state, PromotionTrigger.Reason reason, long now) {
+        long notBefore = pacing.notBefore(reason.certain(), now);
         if (now < notBefore) {
             waiting =
                     "waits %d ms before the next promotion: %s"
-                            .formatted((notBefore - now) / 1_000_000, reason);
+                            .formatted((notBefore - now) / 1_000_000, reason.text());
             return;
         }
         long term = Math.max(state.begunTerm(), highestPromised) + 1;
@@ -145,7 +145,7 @@
         }
         proposedTerm = term;
         proposedAt = now;
-        context.out().propose(new ControlCommand.BeginPromotion(group, term, reason), now);
+        context.out().propose(new ControlCommand.BeginPromotion(group, term, reason.text()), now);
     }
 
     private void fence(GroupState state, long now) {
@@ -186,7 +186,8 @@
                                 promises.size(),
                                 String.join(", ", missing));
         if (highestPromised > state.begunTerm()) {
-            begin(state, "an endpoint promised term " + highestPromised, now);
+            String reason = "an endpoint promised term " + highestPromised;
+            begin(state, new PromotionTrigger.Reason(reason, false), now);
         }
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/control/PromotionPacing.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/PromotionPacing.java
@@ -9,6 +9,10 @@
  * <p>The first promotion after a quiet minute begins at once. After n promotions within a minute
  * the next begins 1, 2, 4 and at most 8 seconds after the last one completed. The bound leaves the
  * rest of the 18 s that a primary change may take at full size to detection and promotion.
+ *
+ * <p>A promotion for a certain reason, such as a primary that is leaving, waits 1 second at most:
+ * proxies send a leaving primary nothing new, so each further second is a write gap, and requests
+ * with the default deadline of 5 s were refused.
  */
 final class PromotionPacing {
     private static final long WINDOW_NANOS = 60_000_000_000L;
@@ -23,12 +27,12 @@
     }
 
     /** Returns the earliest time for the next promotion. */
-    long notBefore(long now) {
+    long notBefore(boolean certain, long now) {
         forget(now);
         if (completions.isEmpty()) {
             return now;
         }
-        int doublings = Math.min(MOST_DOUBLINGS, completions.size() - 1);
+        int doublings = certain ? 0 : Math.min(MOST_DOUBLINGS, completions.size() - 1);
         return completions.getLast() + (FIRST_NANOS << doublings);
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/control/PromotionTrigger.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/PromotionTrigger.java
@@ -22,25 +22,48 @@
         this.context = context;
     }
 
+    /**
+     * Why a promotion is needed.
+     *
+     * @param text the evidence, for operators
+     * @param certain whether the primary itself or the control state says so; a suspicion may be
+     *     wrong, so only its promotions are spaced further and further apart
+     */
+    record Reason(String text, boolean certain) {}
+
     /** Returns why a promotion is needed, if it is. */
-    Option<String> reason(GroupState group, long highestPromised, long now) {
+    Option<Reason> reason(GroupState group, long highestPromised, long now) {
         if (group.term() == 0) {
-            return first(group, now);
+            return first(group, now).map(PromotionTrigger::certain);
         }
         long promised = Math.max(highestPromised, highestAnnounced(group, now));
         if (promised > group.begunTerm()) {
             return Option.of(
-                    "an endpoint promised term %d above term %d"
-                            .formatted(promised, group.begunTerm()));
+                    suspected(
+                            "an endpoint promised term %d above term %d"
+                                    .formatted(promised, group.begunTerm())));
         }
         String name = group.primary().get();
         Option<Member> primary = group.endpoints().get(name);
         if (primary.isEmpty()) {
-            return Option.of("primary " + name + " was replaced");
+            return Option.of(certain("primary " + name + " was replaced"));
         }
         return lost(group, primary.get(), now)
-                .orElse(() -> context.suspicion().suspicion(key(group, primary.get()), now))
-                .orElse(() -> planned(group, primary.get(), now));
+                .map(PromotionTrigger::certain)
+                .orElse(
+                        () ->
+                                context.suspicion()
+                                        .suspicion(key(group, primary.get()), now)
+                                        .map(PromotionTrigger::suspected))
+                .orElse(() -> planned(group, primary.get(), now).map(PromotionTrigger::certain));
+    }
+
+    private static Reason certain(String text) {
+        return new Reason(text, true);
+    }
+
+    private static Reason suspected(String text) {
+        return new Reason(text, false);
     }
 
     /** Returns the endpoints that are leaving or suspected. */
--- a/core/src/test/java/org/ragwortmoor/coordination/control/CandidateChoiceTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/control/CandidateChoiceTest.java
@@ -74,13 +74,14 @@
     void promotionsInQuickSuccessionAreSpaced() {
         long second = 1_000_000_000L;
         PromotionPacing pacing = new PromotionPacing();
-        assertThat(pacing.notBefore(5)).isEqualTo(5);
+        assertThat(pacing.notBefore(false, 5)).isEqualTo(5);
         long now = 0;
         for (long wait : new long[] {1, 2, 4, 8, 8}) {
             pacing.completed(now);
-            assertThat(pacing.notBefore(now)).isEqualTo(now + wait * second);
+            assertThat(pacing.notBefore(false, now)).isEqualTo(now + wait * second);
+            assertThat(pacing.notBefore(true, now)).isEqualTo(now + second);
             now += second;
         }
-        assertThat(pacing.notBefore(now + 70 * second)).isEqualTo(now + 70 * second);
+        assertThat(pacing.notBefore(false, now + 70 * second)).isEqualTo(now + 70 * second);
     }
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/control/ControlCoreTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/control/ControlCoreTest.java
@@ -91,6 +91,30 @@
         assertThat(fixture.group().term()).isEqualTo(2);
     }
 
+    /**
+     * Guards against a planned switch that is held back by earlier failures: proxies send a leaving
+     * primary nothing new, so every second of the wait is a write gap.
+     */
+    @Test
+    void aLeavingPrimaryIsSwitchedSoonAfterSeveralFailures() {
+        fixture.run(3_000);
+        for (int failures = 0; failures < 3; failures++) {
+            ModelEndpoint failed = fixture.primary();
+            failed.alive = false;
+            for (int step = 0; step < 100 && fixture.primary() == failed; step++) {
+                fixture.run(100);
+            }
+            assertThat(fixture.primary()).isNotSameAs(failed);
+            failed.alive = true;
+        }
+        fixture.run(1_000);
+        ModelEndpoint old = fixture.primary();
+        old.leaving = true;
+        fixture.run(2_000);
+        assertThat(fixture.primary()).isNotSameAs(old);
+        assertThat(fixture.group().reason()).isEqualTo("primary " + old.name + " is leaving");
+    }
+
     /** Unchanged groups cost nothing: a node has 2 KB/s for control. */
     @Test
     void groupsAreSentOnlyWhenChanged() {
