--- a/app/src/main/java/org/ragwortmoor/daemon/AccessControl.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/AccessControl.java
@@ -1,13 +1,17 @@
 package org.ragwortmoor.daemon;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import org.ragwortmoor.coordination.activation.AdmittedRequest;
+import org.ragwortmoor.coordination.activation.AdmittedRequests;
+import org.ragwortmoor.coordination.activation.AdmittedRequests.Revocation;
 import org.ragwortmoor.coordination.activation.GateDecision;
 import org.ragwortmoor.coordination.activation.RulesGate;
 import org.ragwortmoor.coordination.activation.UpdateResult;
-import org.ragwortmoor.coordination.activation.VersionUsage;
 import org.ragwortmoor.coordination.control.ControlUpdate;
 import org.ragwortmoor.http.CallerBodies.ErrorBody;
 import org.ragwortmoor.state.endpoint.Operation;
@@ -15,12 +19,13 @@
 import org.ragwortmoor.state.rules.RuleSet;
 import org.ragwortmoor.state.rules.ScanDecision;
 
-/** Decides on requests by the rules and tracks which version each request in flight relies on. */
-final class AccessControl {
+/** Decides on requests by the rules, also on those in flight when the rules change. */
+final class AccessControl implements RulesReview {
     private static final long RETRY_AFTER_MILLIS = 500;
 
     private final RulesGate gate = new RulesGate();
-    private final VersionUsage usage = new VersionUsage();
+    private final AdmittedRequests admitted = new AdmittedRequests(gate);
+    private final AtomicBoolean leaseSeen = new AtomicBoolean();
     private final LongSupplier clock;
 
     AccessControl(LongSupplier clock) {
@@ -37,9 +42,9 @@
         return gate.current(clock.getAsLong());
     }
 
-    /** Returns the version to report: no request in flight relies on an older one. */
+    /** Returns the version to report: it or a later one allows every request in flight. */
     long appliedVersion() {
-        return usage.applied(gate.version());
+        return admitted.applied();
     }
 
     /** Returns the newest version that decides requests. */
@@ -60,19 +65,34 @@
     /**
      * Decides on the operations of one request.
      *
+     * @param id identifier of the request
      * @return a permit to be closed when the request has been answered, or the refusal
      */
-    Either<ErrorBody, Permit> admit(String group, List<Operation> operations, String principal) {
-        Permit permit = new Permit(usage, gate.version());
-        long now = clock.getAsLong();
-        for (Operation operation : operations) {
-            GateDecision decision = gate.decide(group, operation, principal, now);
-            if (!decision.allowed()) {
-                permit.close();
-                return Either.left(refusal(decision));
+    Either<ErrorBody, Permit> admit(
+            long id, String group, List<Operation> operations, String principal) {
+        AdmittedRequest request = admitted.enter(id, group, operations, principal);
+        Option<Revocation> refused = admitted.review(request, clock.getAsLong());
+        if (refused.isDefined()) {
+            admitted.exit(request);
+            return Either.left(refusal(refused.get().decision()));
+        }
+        return Either.right(new Permit(request));
+    }
+
+    @Override
+    public boolean leaseEnded() {
+        if (current()) {
+            if (!leaseSeen.get()) {
+                leaseSeen.set(true);
             }
+            return false;
         }
-        return Either.right(permit);
+        return leaseSeen.get() && leaseSeen.compareAndSet(true, false);
+    }
+
+    @Override
+    public List<Revocation> review() {
+        return admitted.review(clock.getAsLong());
     }
 
     /** Returns the age that all operations accept by default, if rules state one for each. */
@@ -93,26 +113,30 @@
         return gate.rules().decideScan(group, records, principal);
     }
 
-    private static ErrorBody refusal(GateDecision decision) {
+    /** Returns the error that a caller gets for a decision that refuses its request. */
+    static ErrorBody refusal(GateDecision decision) {
         return decision instanceof GateDecision.Forbidden
                 ? new ErrorBody("FORBIDDEN", decision.message(), 0)
                 : new ErrorBody("RULES_EXPIRED", decision.message(), RETRY_AFTER_MILLIS);
     }
 
-    /** Keeps the version that admitted a request from being reported as replaced. */
-    static final class Permit implements AutoCloseable {
-        private final VersionUsage usage;
-        private final long version;
+    /** Keeps a request under review, and a version that forbids it from being reported. */
+    final class Permit implements AutoCloseable {
+        private final AdmittedRequest request;
+
+        private Permit(AdmittedRequest request) {
+            this.request = request;
+        }
 
-        private Permit(VersionUsage usage, long version) {
-            this.usage = usage;
-            this.version = version;
-            usage.enter(version);
+        /** Returns why the request is not allowed any more, if so. */
+        Option<ErrorBody> refusedNow() {
+            return admitted.review(request, clock.getAsLong())
+                    .map(revocation -> refusal(revocation.decision()));
         }
 
         @Override
         public void close() {
-            usage.exit(version);
+            admitted.exit(request);
         }
     }
 }
--- a/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/CallerService.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.daemon;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -10,6 +11,7 @@
 import org.ragwortmoor.coordination.engine.CallerAnswer;
 import org.ragwortmoor.coordination.engine.CallerRequest;
 import org.ragwortmoor.coordination.engine.EngineEvent;
+import org.ragwortmoor.coordination.engine.ErrorKind;
 import org.ragwortmoor.http.CallerBodies.Answer;
 import org.ragwortmoor.http.CallerBodies.BeginBody;
 import org.ragwortmoor.http.CallerBodies.ErrorBody;
@@ -194,13 +196,40 @@
         Either<ErrorBody, CallerRequest.Commit> request =
                 requests.commit(pending.newId(), session, body, clock.getAsLong());
         String key = request.map(r -> r.identity().key()).getOrNull();
+        CallerRequest.Rollback rollback =
+                new CallerRequest.Rollback(
+                        pending.newId(),
+                        session.sessionId(),
+                        body.transaction(),
+                        requests.latestDeadline(clock.getAsLong()));
         List<Operation> touched = transactions.operations(body.transaction());
         return admitted(
                         target.get(),
                         touched,
                         request.map(r -> r),
                         answer -> answers.write(answer, session, body.group(), key))
-                .thenApply(answer -> ended(body, answer));
+                .thenApply(answer -> afterCommit(target.get().host, rollback, answer));
+    }
+
+    /**
+     * Forgets a committed transaction. One that the rules refused must not be forgotten while it is
+     * open, because a second commit would then be decided on without its operations.
+     */
+    private Answer afterCommit(GroupHost host, CallerRequest.Rollback rollback, Answer answer) {
+        String kind = answer.error() == null ? "" : answer.error().kind();
+        if (kind.equals(ErrorKind.FORBIDDEN.name())) {
+            submit(host, rollback).thenAccept(done -> endedIfDone(rollback.transaction(), done));
+        } else if (!kind.equals(ErrorKind.RULES_EXPIRED.name())
+                && !kind.equals(ErrorKind.FOREIGN_TRANSACTION.name())) {
+            transactions.end(rollback.transaction());
+        }
+        return answer;
+    }
+
+    private void endedIfDone(String transaction, CallerAnswer answer) {
+        if (answer instanceof CallerAnswer.Done) {
+            transactions.end(transaction);
+        }
     }
 
     @Override
@@ -219,15 +248,11 @@
                 new CallerRequest.Rollback(
                         pending.newId(), session.sessionId(), body.transaction(), deadline.get());
         return submit(target.get().host, request)
-                .thenApply(answer -> answers.write(answer, session, body.group(), null))
-                .thenApply(answer -> ended(body, answer));
-    }
-
-    private Answer ended(TransactionBody body, Answer answer) {
-        if (answer.error() == null || !"FOREIGN_TRANSACTION".equals(answer.error().kind())) {
-            transactions.end(body.transaction());
-        }
-        return answer;
+                .thenApply(
+                        answer -> {
+                            endedIfDone(body.transaction(), answer);
+                            return answers.write(answer, session, body.group(), null);
+                        });
     }
 
     @Override
@@ -300,19 +325,41 @@
     private CompletionStage<Answer> admitted(
             Target target,
             List<Operation> operations,
-            Either<ErrorBody, CallerRequest> request,
+            Either<ErrorBody, ? extends CallerRequest> request,
             Function<CallerAnswer, Answer> writer) {
         if (request.isLeft()) {
             return refused(request.getLeft());
         }
-        Either<ErrorBody, AccessControl.Permit> permit =
-                access.admit(target.host.group(), operations, target.session.principal());
-        if (permit.isLeft()) {
-            return refused(permit.getLeft());
+        long id = request.get().id();
+        Either<ErrorBody, AccessControl.Permit> admitted =
+                access.admit(id, target.host.group(), operations, target.session.principal());
+        if (admitted.isLeft()) {
+            return refused(admitted.getLeft());
         }
-        return submit(target.host, request.get())
-                .whenComplete((answer, failure) -> permit.get().close())
-                .thenApply(writer);
+        AccessControl.Permit permit = admitted.get();
+        CompletionStage<Answer> answer =
+                submit(target.host, request.get())
+                        .whenComplete((done, failure) -> permit.close())
+                        .thenApply(done -> checked(request.get(), done, permit, writer));
+        // A version that came between the decision and the submission has not reviewed the request.
+        permit.refusedNow().forEach(error -> target.host.submit(GroupDirectory.revoked(id, error)));
+        return answer;
+    }
+
+    /**
+     * A read that the rules do not allow any more shows nothing, even if its answer was received in
+     * the same moment; a write that ran is answered as done.
+     */
+    private static Answer checked(
+            CallerRequest request,
+            CallerAnswer answer,
+            AccessControl.Permit permit,
+            Function<CallerAnswer, Answer> writer) {
+        boolean shows =
+                request instanceof CallerRequest.Read && answer instanceof CallerAnswer.Done;
+        Option<ErrorBody> refusal = shows ? permit.refusedNow() : Option.none();
+        return refusal.map(e -> Answer.notRun(e.kind(), e.message(), e.retryAfterMillis()))
+                .getOrElse(() -> writer.apply(answer));
     }
 
     private CompletableFuture<CallerAnswer> submit(GroupHost host, CallerRequest request) {
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
@@ -75,6 +75,8 @@
     }
 
     private void report() {
+        // Also reviews requests that were admitted while the version changed.
+        groups.reviewRequests();
         PeerBody.Report report =
                 new PeerBody.Report(
                         reports.next(
@@ -122,6 +124,7 @@
         long after = access.activeVersion();
         if (after != before) {
             LOG.info("rules version {} is active, before {}", after, before);
+            groups.reviewRequests();
         }
     }
 
--- a/app/src/main/java/org/ragwortmoor/daemon/GroupDirectory.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/GroupDirectory.java
@@ -11,13 +11,17 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.ragwortmoor.coordination.activation.AdmittedRequest;
+import org.ragwortmoor.coordination.activation.AdmittedRequests;
 import org.ragwortmoor.coordination.control.ControlUpdate;
 import org.ragwortmoor.coordination.control.EndpointKey;
 import org.ragwortmoor.coordination.engine.CallerAnswer;
 import org.ragwortmoor.coordination.engine.EngineDump;
 import org.ragwortmoor.coordination.engine.EngineEvent;
 import org.ragwortmoor.coordination.engine.EngineSettings;
+import org.ragwortmoor.coordination.engine.ErrorKind;
 import org.ragwortmoor.coordination.engine.GroupEngine;
+import org.ragwortmoor.http.CallerBodies.ErrorBody;
 import org.ragwortmoor.state.GroupView;
 
 /**
@@ -32,6 +36,7 @@
     private final Consumer<CallerAnswer> replies;
     private final ScheduledExecutorService timer;
     private final LongSupplier clock;
+    private final RulesReview rules;
 
     GroupDirectory(
             EngineSettings settings,
@@ -39,7 +44,9 @@
             EndpointPort port,
             Consumer<CallerAnswer> replies,
             ScheduledExecutorService timer,
-            LongSupplier clock) {
+            LongSupplier clock,
+            RulesReview rules) {
+        this.rules = rules;
         this.settings = settings;
         this.proxy = proxy;
         this.port = port;
@@ -92,6 +99,31 @@
                         deadline));
     }
 
+    /** Refuses the requests in flight that the rules do not allow any more. */
+    void reviewRequests() {
+        for (AdmittedRequests.Revocation revocation : rules.review()) {
+            AdmittedRequest request = revocation.request();
+            ErrorBody error = AccessControl.refusal(revocation.decision());
+            host(request.group()).forEach(h -> h.submit(revoked(request.id(), error)));
+        }
+    }
+
+    /**
+     * A proxy that was frozen beyond the end of its lease must not send what waits in its queues,
+     * so this runs before each event of an engine.
+     */
+    private void reviewAfterLease() {
+        if (rules.leaseEnded()) {
+            reviewRequests();
+        }
+    }
+
+    /** Returns the event that refuses a request for this reason. */
+    static EngineEvent.RequestRevoked revoked(long request, ErrorBody error) {
+        return new EngineEvent.RequestRevoked(
+                request, ErrorKind.valueOf(error.kind()), error.message());
+    }
+
     /** Begins the planned stop of all groups. */
     void stop() {
         List.copyOf(hosts.values()).forEach(h -> h.submit(new EngineEvent.StopRequested()));
@@ -106,7 +138,7 @@
         RandomGenerator random =
                 RandomGeneratorFactory.of("L64X128MixRandom").create(System.nanoTime());
         GroupEngine engine = new GroupEngine(settings, proxy, group, random);
-        return new GroupHost(group, engine, port, replies, timer, clock);
+        return new GroupHost(group, engine, port, replies, timer, clock, this::reviewAfterLease);
     }
 
     @Override
--- a/app/src/main/java/org/ragwortmoor/daemon/GroupHost.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/GroupHost.java
@@ -35,6 +35,7 @@
     private final Consumer<CallerAnswer> replies;
     private final ScheduledExecutorService timer;
     private final LongSupplier clock;
+    private final Runnable beforeEvent;
 
     /** Guarded by {@link #lock}. */
     private long scheduledAt = Long.MAX_VALUE;
@@ -49,6 +50,7 @@
      * Creates a host.
      *
      * @param clock monotonic time in nanoseconds
+     * @param beforeEvent called without the lock before each event; may submit events itself
      */
     GroupHost(
             String group,
@@ -56,13 +58,15 @@
             EndpointPort port,
             Consumer<CallerAnswer> replies,
             ScheduledExecutorService timer,
-            LongSupplier clock) {
+            LongSupplier clock,
+            Runnable beforeEvent) {
         this.group = group;
         this.engine = engine;
         this.port = port;
         this.replies = replies;
         this.timer = timer;
         this.clock = clock;
+        this.beforeEvent = beforeEvent;
     }
 
     /** Returns the name of the group. */
@@ -72,6 +76,7 @@
 
     /** Handles an event and carries out what the engine decides. */
     void submit(EngineEvent event) {
+        beforeEvent.run();
         lock.lock();
         try {
             if (closed) {
--- a/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ProxyNode.java
@@ -59,7 +59,8 @@
                         links,
                         pending::complete,
                         workers.timer(),
-                        System::nanoTime);
+                        System::nanoTime,
+                        access);
         sessions = new SessionService(System::currentTimeMillis, config.sessionLifetimeMillis());
         control =
                 new ControlLink(
--- a/app/src/main/java/org/ragwortmoor/daemon/RequestFactory.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/RequestFactory.java
@@ -115,6 +115,11 @@
         return Either.right(now + TimeUnit.MILLISECONDS.toNanos(wait));
     }
 
+    /** Returns the longest deadline that a request may have. */
+    long latestDeadline(long now) {
+        return now + TimeUnit.MILLISECONDS.toNanos(times.maxDeadlineMillis());
+    }
+
     /** Returns the time at which an open transaction ends. */
     Either<ErrorBody, Long> transactionDeadline(Long millis, long now) {
         return deadline(millis == null ? Long.valueOf(times.transactionMillis()) : millis, now)
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/CommitTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/CommitTask.java
@@ -153,6 +153,14 @@
         }
     }
 
+    /** A commit that was sent ends by its answer; it is never sent a second time. */
+    @Override
+    void revoked(ErrorKind kind, String message) {
+        if (!inDoubt) {
+            refuseRevoked(kind, message);
+        }
+    }
+
     @Override
     void expired() {
         if (inDoubt) {
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Counter.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Counter.java
@@ -40,6 +40,8 @@
     RESETS,
     /** Running statements that were reclassified as long. */
     RECLASSIFIED,
+    /** Requests that the rules admitted and did not allow any more before their answer. */
+    REVOKED,
     /** Transactions rolled back by the proxy. */
     TRANSACTIONS_ABORTED
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/EngineEvent.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/EngineEvent.java
@@ -11,6 +11,15 @@
     /** The caller of this request is gone; its open transaction is rolled back. */
     record CallerLost(String session) implements EngineEvent {}
 
+    /**
+     * The rules do not allow a request any more that they had admitted. What was not sent does not
+     * run; a write that was sent is not repeated.
+     *
+     * @param request identifier of the request; ignored if it was answered
+     * @param message reason and remedy for the caller
+     */
+    record RequestRevoked(long request, ErrorKind kind, String message) implements EngineEvent {}
+
     /** A connection that the engine asked for is open (its {@code Hello} was answered). */
     record ConnectionOpened(String endpoint, long connection) implements EngineEvent {}
 
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/GroupEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/GroupEngine.java
@@ -58,6 +58,8 @@
             arrived(arrived.request());
         } else if (event instanceof EngineEvent.CallerLost lost) {
             callerLost(lost.session());
+        } else if (event instanceof EngineEvent.RequestRevoked revoked) {
+            revoked(revoked);
         } else if (event instanceof EngineEvent.ConnectionOpened opened) {
             ctx.pool().opened(opened.connection());
         } else if (event instanceof EngineEvent.ConnectionFailed failed) {
@@ -122,6 +124,14 @@
         }
     }
 
+    private void revoked(EngineEvent.RequestRevoked revoked) {
+        Task task = ctx.tasks().get(revoked.request());
+        if (task != null && !task.answered()) {
+            ctx.count(Counter.REVOKED);
+            task.revoked(revoked.kind(), revoked.message());
+        }
+    }
+
     /** Takes a view unless a newer term is known already. */
     private void groupChanged(GroupView view) {
         if (described && view.term() < ctx.view().term()) {
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/InTransactionTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/InTransactionTask.java
@@ -110,6 +110,11 @@
         }
     }
 
+    @Override
+    void revoked(ErrorKind kind, String message) {
+        refuseRevoked(kind, message);
+    }
+
     @Override
     void expired() {
         abort(ErrorKind.DEADLINE_EXCEEDED, "a statement was not answered in time");
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/ReadTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/ReadTask.java
@@ -216,6 +216,11 @@
         refuse(ErrorKind.DEADLINE_EXCEEDED, "the read was not answered in time; try again", 50);
     }
 
+    @Override
+    void revoked(ErrorKind kind, String message) {
+        refuseRevoked(kind, message);
+    }
+
     @Override
     void callerLost() {
         super.callerLost();
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Task.java
@@ -6,6 +6,9 @@
 
 /** A caller's request on its way through the engine; it is answered exactly once. */
 abstract class Task {
+    /** Time after which a caller may ask again whether the rules allow its request. */
+    private static final long RULES_RETRY_MILLIS = 500;
+
     private final EngineContext ctx;
     private final CallerRequest request;
     private final String label;
@@ -64,6 +67,11 @@
         return null;
     }
 
+    /** Reacts to rules that do not allow the request any more. */
+    void revoked(ErrorKind kind, String message) {
+        // Requests without operations, such as a question for an outcome, are not revoked.
+    }
+
     void callerLost() {
         callerLost = true;
     }
@@ -146,6 +154,11 @@
                         id(), records, position, endpoint, replica, duplicate, transaction));
     }
 
+    /** Refuses a request of which nothing was sent, or whose result may not be shown. */
+    void refuseRevoked(ErrorKind kind, String message) {
+        refuse(kind, message, kind == ErrorKind.RULES_EXPIRED ? RULES_RETRY_MILLIS : 0);
+    }
+
     void unknown(ErrorKind kind, String message) {
         answer(new CallerAnswer.Unknown(id(), kind, message));
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/WriteTask.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/WriteTask.java
@@ -3,6 +3,7 @@
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.endpoint.EndpointAnswer;
 import org.ragwortmoor.state.endpoint.EndpointCall;
+import org.ragwortmoor.state.endpoint.RefusalKind;
 import org.ragwortmoor.state.endpoint.WriteIdentity;
 
 /**
@@ -19,6 +20,7 @@
     private boolean inDoubt;
     private boolean refusedAsCancelled;
     private OutcomeQuery query;
+    private Runnable refusal;
 
     WriteTask(EngineContext ctx, CallerRequest.Write write) {
         super(ctx, write, Lane.PRIMARY, write.label());
@@ -105,6 +107,10 @@
     }
 
     private void refused(EndpointAnswer.Refused refused) {
+        if (refusal != null && refused.kind() != RefusalKind.CANCELLED) {
+            refusal.run();
+            return;
+        }
         switch (refused.kind()) {
             case CONFLICT ->
                     refuse(ErrorKind.CONFLICT, "another transaction changed the records first", 1);
@@ -137,6 +143,10 @@
                     0);
             return;
         }
+        if (refusal != null) {
+            refusal.run();
+            return;
+        }
         if (isCallerLost() || (refusedAsCancelled && !ctx().tryRetry())) {
             refuse(ErrorKind.CANCELLED, "the write was cancelled", 0);
             return;
@@ -172,7 +182,9 @@
     private void cancellationConfirmed() {
         inDoubt = false;
         query = null;
-        if (!isCallerLost() && ctx().tryRetry()) {
+        if (refusal != null) {
+            refusal.run();
+        } else if (!isCallerLost() && ctx().tryRetry()) {
             ctx().count(Counter.WRITE_RETRIES);
             attempt++;
             ctx().admission().requeue(this);
@@ -207,6 +219,15 @@
         }
     }
 
+    /** An attempt that was sent ends by its answer or its cancellation; no other follows. */
+    @Override
+    void revoked(ErrorKind kind, String message) {
+        refusal = () -> refuseRevoked(kind, message);
+        if (!inDoubt) {
+            refusal.run();
+        }
+    }
+
     @Override
     void callerLost() {
         super.callerLost();
