Check concurrent transactions on shared connections over a failover

The number of sessions with committed transactions shows that connections were shared. Before: no such test.

--- a/app/src/test/java/org/ragwortmoor/process/HistoryFaultTest.java
+++ b/app/src/test/java/org/ragwortmoor/process/HistoryFaultTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -22,6 +23,12 @@
 
     private static final long LOAD_MILLIS = 2_500;
 
+    /** Longer than any fault of these tests, so that a request can outlast it. */
+    private static final long LOAD_DEADLINE_MILLIS = 10_000;
+
+    /** Time before a fault, in which the load finds its connections open. */
+    private static final long BEFORE_MILLIS = 700;
+
     /** Answers that are held back are late for callers with this deadline. */
     private static final long SHORT_DEADLINE_MILLIS = 500;
 
@@ -106,6 +113,39 @@
                 .isPositive();
     }
 
+    /** Transactions of more sessions than connections stay apart, also over a failover. */
+    @Test
+    void transactionsOnSharedConnectionsDoNotMixWhenThePrimaryIsKilled() {
+        String primary = harness.primary();
+        HistoryLoad load = load(2, LOAD_MILLIS);
+        harness.process(primary).kill();
+        harness.awaitPrimaryOtherThan(primary);
+        List<HistoryRecord> committed = HistoryLoad.committed(load.finish());
+        assertThat(committed.stream().map(r -> r.request().session()).distinct().count())
+                .as("sessions with committed transactions")
+                .isGreaterThan(2 * CONNECTIONS);
+        assertWritable("proxy-1", "proxy-2");
+    }
+
+    private HistoryLoad load(long seed, long millis) {
+        HistoryLoad load = HistoryLoad.start(harness, seed, millis, LOAD_DEADLINE_MILLIS);
+        pause(BEFORE_MILLIS);
+        return load;
+    }
+
+    private void assertWritable(String... proxies) {
+        for (String name : proxies) {
+            String proxy = harness.process(name).address();
+            String token = ProcessHarness.session(proxy, "after-fault");
+            harness.await(
+                    "a write through " + name,
+                    () -> {
+                        JsonNode written = put(proxy, token, "after-fault", name);
+                        return Api.outcome(written).equals("done");
+                    });
+        }
+    }
+
     private static void pause(long millis) {
         try {
             Thread.sleep(millis);
