Test a control leader that is cut off from the other members

Cause: links between control processes were never cut with real processes. The leader is cut off from the members while proxies and endpoints still reach it. Before: no such test.

--- a/app/src/test/java/org/ragwortmoor/process/RulesPropagationTest.java
+++ b/app/src/test/java/org/ragwortmoor/process/RulesPropagationTest.java
@@ -4,11 +4,24 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards rule versions against proxies that miss them and against restarts of everything. */
+/**
+ * Guards rule versions against processes that miss them and against restarts
+ * of everything.
+ */
 class RulesPropagationTest extends ProcessTestCase {
     private static final int CHANGES = 200;
+    private static final int CALLERS = 4;
+    private static final int SOME_WRITES = 40;
+
+    /**
+     * Time in which a returned process would disturb the leader: more than twice the second that an
+     * election takes.
+     */
+    private static final long STABLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private static final String SCOPED =
             """
@@ -20,6 +33,27 @@
     private static final String WIDENED =
             ALLOWED + "scope fleet-colina second/ # requested by Court: order 13/3\n";
 
+    @Override
+    ProcessHarness.Options options() {
+        return new ProcessHarness.Options(30, true);
+    }
+
+    @AfterEach
+    void repair() {
+        harness.reconnectControls();
+        for (ManagedProcess control : harness.controls()) {
+            if (!control.alive()) {
+                control.start();
+            }
+        }
+        harness.await(
+                "equal versions on all control processes",
+                () ->
+                        harness.controls().stream()
+                                .allMatch(c -> version(c) == version(harness.leader())));
+        harness.awaitServing();
+    }
+
     private JsonNode applyNext(String operation, String text) {
         return applyThroughLeader(rulesVersion(), operation, "M. Vera", text);
     }
@@ -130,4 +164,82 @@
         assertThat(Api.outcome(resent)).as("%s", resent).isEqualTo("done");
         assertThat(rulesVersion()).as("a resend changes nothing").isEqualTo(last);
     }
+
+    private static long version(ManagedProcess process) {
+        return status(process).path("rulesVersion").asLong(-1);
+    }
+
+    private static JsonNode status(ManagedProcess process) {
+        return Api.get(process.address(), "/v1/status");
+    }
+
+    private static String text(String mark) {
+        return ALLOWED + "age fleet-colina " + mark + "/ 5s # requested by M. Vera\n";
+    }
+
+    /** Applies a version that only differs in its mark and does not widen the scopes. */
+    private long applyNext(String mark) {
+        long before = rulesVersion();
+        JsonNode answer = applyNext("apply-" + mark, text(mark));
+        assertThat(Api.outcome(answer)).as("%s", answer).isIn("done", "pending");
+        return before + 1;
+    }
+
+    private void awaitLeaderOtherThan(ManagedProcess former) {
+        harness.await(
+                "a leader other than " + former.name(),
+                () -> harness.leaders().stream().anyMatch(leader -> !leader.equals(former)));
+    }
+
+    private void awaitOnProxies(long version) {
+        harness.await(
+                "version " + version + " on both proxies",
+                () -> harness.proxies().stream().allMatch(p -> version(p) == version));
+    }
+
+    /** Returns how often the control processes have elected a leader. */
+    private long elections() {
+        return harness.controls().stream()
+                .flatMap(c -> c.logText().lines())
+                .filter(line -> line.contains("elected leader of term"))
+                .count();
+    }
+
+    /** The proxies and endpoints still reach the former leader, which must not answer them. */
+    @Test
+    void leaderThatWasCutOffNeitherRevertsRulesNorDisturbsItsSuccessor() {
+        long version = applyNext("before-cut");
+        awaitOnProxies(version);
+        ManagedProcess former = harness.leader();
+        try (CallerLoad load = CallerLoad.start("cut", harness.proxyAddresses(), CALLERS);
+                RulesWatch watch = new RulesWatch(harness.proxyAddresses())) {
+            harness.isolateControl(former.name());
+            JsonNode refused = apply(former.address(), version, "cut", "Cut", text("cut"));
+            assertThat(Api.outcome(refused)).as("%s", refused).isNotEqualTo("done");
+            awaitLeaderOtherThan(former);
+            harness.await(
+                    "the former leader stops leading",
+                    () -> !status(former).path("leads").asBoolean());
+            applyNext("during-cut-1");
+            applyNext("during-cut-2");
+            long next = applyNext("during-cut-3");
+            awaitOnProxies(next);
+            assertThat(version(former)).as("version of the isolated process").isLessThan(next);
+
+            ManagedProcess successor = harness.leader();
+            long elections = elections();
+            harness.reconnectControls();
+            harness.await("the returned process", () -> version(former) == next);
+            long end = System.nanoTime() + STABLE_NANOS;
+            while (System.nanoTime() - end < 0) {
+                assertThat(harness.leaders()).containsOnly(successor);
+            }
+            assertThat(elections()).as("elections after the return").isEqualTo(elections);
+            assertThat(rulesVersion()).isEqualTo(next);
+            awaitOnProxies(next);
+            load.awaitProgress(harness, SOME_WRITES);
+            load.finish();
+            watch.check();
+        }
+    }
 }
