Test a control leader whose files cannot grow

Cause: full disks were tested on the storage interface only. A shell limits the file size of a control process and replaces itself by it, so that writes fail as on a full disk. The process is made the leader by freezing others and fills its log with rule versions. It stepped down, stated the failure in its status, another leader kept all acknowledged versions, and the process followed again after a start without the limit. Ruled out: waiting for the answer of the request whose write failed; the test goes on as soon as the status states the failure. Before: no such test. No fault was found.

--- a/app/src/test/java/org/ragwortmoor/process/ManagedProcess.java
+++ b/app/src/test/java/org/ragwortmoor/process/ManagedProcess.java
@@ -49,13 +49,36 @@
     }
 
     void start() {
+        start(command(arguments), log);
+    }
+
+    /**
+     * Starts the process so that no file of it grows beyond a size: writes fail as on a full disk.
+     *
+     * @param kib largest size in KiB
+     */
+    void startWithFileLimit(int kib) {
+        // POSIX shells count the limit in blocks of 512 bytes.
+        List<String> limited =
+                new ArrayList<>(
+                        List.of("sh", "-c", "ulimit -f " + 2 * kib + "; exec \"$@\"", "sh"));
+        limited.addAll(command(arguments));
+        start(limited, limitedLog());
+    }
+
+    /** The limit also holds for the log, which may have passed it before. */
+    private Path limitedLog() {
+        return log.resolveSibling(name + ".limited.log");
+    }
+
+    private void start(List<String> commandLine, Path output) {
         if (alive()) {
             throw new IllegalStateException(name + " runs already");
         }
-        File file = log.toFile();
+        File file = output.toFile();
         try {
             process =
-                    new ProcessBuilder(command(arguments))
+                    new ProcessBuilder(commandLine)
                             .redirectErrorStream(true)
                             .redirectOutput(ProcessBuilder.Redirect.appendTo(file))
                             .start();
@@ -148,10 +171,24 @@
         }
     }
 
+    /** Returns the size of the largest file of the process in KiB, rounded up. */
+    int largestFileKib() {
+        try (Stream<Path> files = Files.walk(data)) {
+            long bytes = files.mapToLong(file -> file.toFile().length()).max().orElse(0);
+            return (int) (bytes / 1024) + 1;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Returns what the process has written. */
     String logText() {
+        return text(log) + text(limitedLog());
+    }
+
+    private static String text(Path file) {
         try {
-            return Files.exists(log) ? Files.readString(log) : "";
+            return Files.exists(file) ? Files.readString(file) : "";
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/app/src/test/java/org/ragwortmoor/process/RulesPropagationTest.java
+++ b/app/src/test/java/org/ragwortmoor/process/RulesPropagationTest.java
@@ -3,13 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards rule versions against processes that miss them and against restarts
+ * Guards rule versions against processes that miss them or cannot store them, and against restarts
  * of everything.
  */
 class RulesPropagationTest extends ProcessTestCase {
@@ -23,6 +25,15 @@
      */
     private static final long STABLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** How far the files of a process with a small disk can grow. */
+    private static final int FREE_KIB = 128;
+
+    /** Bytes of a rule file, so that a few versions fill the disk. */
+    private static final int LARGE_TEXT = 60_000;
+
+    /** More versions of this size than the limit allows. */
+    private static final int MAX_VERSIONS = 2 * FREE_KIB * 1024 / LARGE_TEXT;
+
     private static final String SCOPED =
             """
             scope fleet-colina partner/ # requested by Court: order 12/3
@@ -177,6 +188,14 @@
         return ALLOWED + "age fleet-colina " + mark + "/ 5s # requested by M. Vera\n";
     }
 
+    private static String largeText(String mark) {
+        StringBuilder text = new StringBuilder(ALLOWED);
+        for (int i = 0; text.length() < LARGE_TEXT; i++) {
+            text.append("age fleet-colina " + mark + i + "/ 5s # requested by M. Vera\n");
+        }
+        return text.toString();
+    }
+
     /** Applies a version that only differs in its mark and does not widen the scopes. */
     private long applyNext(String mark) {
         long before = rulesVersion();
@@ -242,4 +261,73 @@
             watch.check();
         }
     }
+
+    @Test
+    void leaderWhoseDiskIsFullStepsDownAndLosesNoAcknowledgedVersion() {
+        ManagedProcess leader = harness.leader();
+        ManagedProcess limited =
+                harness.controls().stream()
+                        .filter(c -> !c.equals(leader))
+                        .findFirst()
+                        .orElseThrow();
+        limited.kill();
+        limited.startWithFileLimit(limited.largestFileKib() + FREE_KIB);
+        harness.await("the restarted process", () -> version(limited) == version(leader));
+        lead(limited);
+        long acknowledged = rulesVersion();
+        try (CallerLoad load = CallerLoad.start("disk", harness.proxyAddresses(), CALLERS);
+                RulesWatch watch = new RulesWatch(harness.proxyAddresses())) {
+            for (int i = 0; i < MAX_VERSIONS && failure(limited).isEmpty(); i++) {
+                String text = largeText("full-" + i);
+                acknowledged += acknowledged(limited, acknowledged, "full-" + i, text) ? 1 : 0;
+            }
+            harness.await("the failure in the state", () -> !failure(limited).isEmpty());
+            assertThat(failure(limited)).contains("File too large");
+            assertThat(status(limited).path("leads").asBoolean()).isFalse();
+            awaitLeaderOtherThan(limited);
+            assertThat(rulesVersion()).isGreaterThanOrEqualTo(acknowledged);
+            long next = applyNext("after-full");
+            awaitOnProxies(next);
+
+            limited.kill();
+            limited.start();
+            harness.await("the process with a larger disk", () -> version(limited) == next);
+            load.awaitProgress(harness, SOME_WRITES);
+            load.finish();
+            watch.check();
+        }
+    }
+
+    /** Returns whether a process acknowledged a version before its disk was full. */
+    private boolean acknowledged(ManagedProcess control, long before, String mark, String text) {
+        CompletableFuture<JsonNode> answer =
+                CompletableFuture.supplyAsync(
+                        () -> apply(control.address(), before, mark, "M. Vera", text));
+        harness.await(
+                "an answer or a full disk", () -> answer.isDone() || !failure(control).isEmpty());
+        JsonNode known = answer.getNow(MissingNode.getInstance());
+        return List.of("done", "pending").contains(Api.outcome(known));
+    }
+
+    /** Returns the failure that a process states; empty if it states none or does not answer. */
+    private static String failure(ManagedProcess control) {
+        JsonNode failure = status(control).path("failure");
+        return failure.isTextual() ? failure.asText() : "";
+    }
+
+    /** Freezes leaders until a process leads. */
+    private void lead(ManagedProcess wanted) {
+        ManagedProcess leader = harness.leader();
+        while (!leader.equals(wanted)) {
+            ManagedProcess former = leader;
+            former.freeze();
+            try {
+                awaitLeaderOtherThan(former);
+            } finally {
+                former.thaw();
+            }
+            harness.await("one leader", () -> harness.leaders().size() == 1);
+            leader = harness.leader();
+        }
+    }
 }
