Read the late work of leaving endpoints and a transaction past a stop

Cause: the count of statements that arrive after the grace of a leaving endpoint was visible inside its process only. The endpoint now logs it when it stays after all, and the tests of leaving endpoints demand 0. The planned stop of the primary has a second open transaction, which is committed after the process has ended, so later than the grace of 3 s. The test now demands "not run" and that nothing of the transaction is seen. The waits for a primary and for repaired endpoints moved into the harness. Before: lateWork was not read.

--- a/app/src/test/java/org/ragwortmoor/process/EndpointFailureTest.java
+++ b/app/src/test/java/org/ragwortmoor/process/EndpointFailureTest.java
@@ -25,35 +25,7 @@
 
     @AfterEach
     void repair() {
-        for (ManagedProcess endpoint : harness.endpoints()) {
-            if (!endpoint.alive()) {
-                endpoint.start();
-            }
-            harness.await(endpoint.name() + " accepts switches", () -> cleared(endpoint));
-        }
-        harness.awaitServing();
-        harness.await("three caught-up endpoints", this::allCaughtUp);
-    }
-
-    private static boolean cleared(ManagedProcess endpoint) {
-        return new org.ragwortmoor.standin.StandinControl(endpoint.address())
-                .apply(new FaultSwitch.Clear())
-                .isEmpty();
-    }
-
-    private boolean allCaughtUp() {
-        JsonNode endpoints = Api.get(harness.proxy(1), "/v1/status").at("/groups/0/endpoints");
-        String head = "";
-        for (JsonNode endpoint : endpoints) {
-            String last = endpoint.path("last").asText();
-            if (endpoint.path("silentMillis").asLong() > 1_000
-                    || endpoint.path("leaving").asBoolean()
-                    || !(head.isEmpty() || head.equals(last))) {
-                return false;
-            }
-            head = last;
-        }
-        return endpoints.size() == 3;
+        harness.repairEndpoints();
     }
 
     private String replica() {
@@ -65,22 +37,13 @@
                 .orElseThrow();
     }
 
-    private void awaitPrimaryOtherThan(String former) {
-        harness.await(
-                "a primary other than " + former,
-                () -> {
-                    String now = harness.primaryNow();
-                    return !now.isEmpty() && !now.equals(former);
-                });
-    }
-
     @Test
     void killedPrimaryLosesNoAcknowledgedWrite() {
         String primary = harness.primary();
         try (CallerLoad load = CallerLoad.start("killed", harness.proxyAddresses(), CALLERS)) {
             load.awaitProgress(harness, SOME_WRITES);
             harness.process(primary).kill();
-            awaitPrimaryOtherThan(primary);
+            harness.awaitPrimaryOtherThan(primary);
             load.awaitProgress(harness, SOME_WRITES);
             harness.process(primary).start();
             load.awaitProgress(harness, SOME_WRITES);
@@ -94,7 +57,7 @@
         try (CallerLoad load = CallerLoad.start("frozen", harness.proxyAddresses(), CALLERS)) {
             load.awaitProgress(harness, SOME_WRITES);
             harness.process(primary).freeze();
-            awaitPrimaryOtherThan(primary);
+            harness.awaitPrimaryOtherThan(primary);
             load.awaitProgress(harness, SOME_WRITES);
             harness.process(primary).thaw();
             load.awaitProgress(harness, SOME_WRITES);
@@ -127,7 +90,7 @@
     void leavingPrimaryGetsNoNewWorkAfterThreeSeconds() {
         String primary = harness.primary();
         leave(primary, "leaving-primary");
-        awaitPrimaryOtherThan(primary);
+        harness.awaitPrimaryOtherThan(primary);
     }
 
     private void leave(String endpoint, String name) {
@@ -147,6 +110,20 @@
             assertThat(load.uncertain()).as("requests without definite outcome").isEmpty();
             assertThat(load.refused()).as("refused requests").isEmpty();
         }
+        harness.fault(endpoint, new FaultSwitch.Leaving(false));
+        harness.await("the endpoint's count of late work", () -> !lateWork(endpoint).isEmpty());
+        assertThat(lateWork(endpoint)).as("late work of " + endpoint).containsOnly("0");
+    }
+
+    /** Returns the counts of late work that an endpoint has written when it stayed after all. */
+    private List<String> lateWork(String endpoint) {
+        String mark = "stays after all; late work: ";
+        return harness.process(endpoint)
+                .logText()
+                .lines()
+                .filter(line -> line.contains(mark))
+                .map(line -> line.substring(line.indexOf(mark) + mark.length()))
+                .toList();
     }
 
     @Test
@@ -156,15 +133,23 @@
             load.awaitProgress(harness, SOME_WRITES);
             Transaction open = Transaction.begin(harness.proxy(1), "stopper");
             open.increment("stopped/in-transaction");
+            Transaction late = Transaction.begin(harness.proxy(2), "late-stopper");
+            late.increment("stopped/late-transaction");
             harness.process(primary).beginStop();
             JsonNode committed = open.commit("stopped-1");
             assertThat(Api.outcome(committed)).as("%s", committed).isEqualTo("done");
             harness.process(primary).awaitEnd();
-            awaitPrimaryOtherThan(primary);
+            harness.awaitPrimaryOtherThan(primary);
             load.awaitProgress(harness, SOME_WRITES);
             load.finish();
             assertThat(load.uncertain()).as("requests without definite outcome").isEmpty();
             assertThat(load.refused()).as("refused requests").isEmpty();
+
+            // Promise 7 needs another primary within 3 s, whose term ends this transaction.
+            JsonNode ended = late.commit("stopped-2");
+            assertThat(Api.outcome(ended)).as("%s", ended).isEqualTo("not-run");
+            JsonNode seen = read(harness.proxy(1), late.token(), "stopped/late-transaction");
+            assertThat(value(seen)).as("a transaction that was not run").isEmpty();
         }
     }
 }
--- a/standin/src/main/java/org/ragwortmoor/standin/ServerState.java
+++ b/standin/src/main/java/org/ragwortmoor/standin/ServerState.java
@@ -13,9 +13,13 @@
 import org.ragwortmoor.state.EndpointStatus;
 import org.ragwortmoor.state.endpoint.EndpointAnswer.Refused;
 import org.ragwortmoor.state.endpoint.RefusalKind;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What the connections of one server share. Confined to its event loop but for the counters. */
 final class ServerState {
+    private static final Logger LOG = LoggerFactory.getLogger(ServerState.class);
+
     final StandinSettings settings;
     private final long incarnation;
     final StandinDatabase database;
@@ -89,6 +93,12 @@
                     System.nanoTime()
                             + TimeUnit.MILLISECONDS.toNanos(settings.delays().leavingGraceMillis());
         }
+        if (wasLeaving && !faults.leaving()) {
+            LOG.info(
+                    "endpoint {} stays after all; late work: {}",
+                    settings.endpoint(),
+                    lateWork.get());
+        }
         if (fault instanceof FaultSwitch.SilenceConnections silence) {
             connections().stream()
                     .filter(c -> c.isClient(silence.client()))
