--- a/app/src/test/java/org/ragwortmoor/process/RulesPropagationTest.java
+++ b/app/src/test/java/org/ragwortmoor/process/RulesPropagationTest.java
@@ -3,12 +3,36 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards rule versions against proxies that miss them and against restarts of everything. */
+/**
+ * Guards rule versions against processes that miss them or cannot store them, and against restarts
+ * of everything.
+ */
 class RulesPropagationTest extends ProcessTestCase {
     private static final int CHANGES = 200;
+    private static final int CALLERS = 4;
+    private static final int SOME_WRITES = 40;
+
+    /**
+     * Time in which a returned process would disturb the leader: more than twice the second that an
+     * election takes.
+     */
+    private static final long STABLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** How far the files of a process with a small disk can grow. */
+    private static final int FREE_KIB = 128;
+
+    /** Bytes of a rule file, so that a few versions fill the disk. */
+    private static final int LARGE_TEXT = 60_000;
+
+    /** More versions of this size than the limit allows. */
+    private static final int MAX_VERSIONS = 2 * FREE_KIB * 1024 / LARGE_TEXT;
 
     private static final String SCOPED =
             """
@@ -20,6 +44,27 @@
     private static final String WIDENED =
             ALLOWED + "scope fleet-colina second/ # requested by Court: order 13/3\n";
 
+    @Override
+    ProcessHarness.Options options() {
+        return new ProcessHarness.Options(30, true);
+    }
+
+    @AfterEach
+    void repair() {
+        harness.reconnectControls();
+        for (ManagedProcess control : harness.controls()) {
+            if (!control.alive()) {
+                control.start();
+            }
+        }
+        harness.await(
+                "equal versions on all control processes",
+                () ->
+                        harness.controls().stream()
+                                .allMatch(c -> version(c) == version(harness.leader())));
+        harness.awaitServing();
+    }
+
     private JsonNode applyNext(String operation, String text) {
         return applyThroughLeader(rulesVersion(), operation, "M. Vera", text);
     }
@@ -130,4 +175,159 @@
         assertThat(Api.outcome(resent)).as("%s", resent).isEqualTo("done");
         assertThat(rulesVersion()).as("a resend changes nothing").isEqualTo(last);
     }
+
+    private static long version(ManagedProcess process) {
+        return status(process).path("rulesVersion").asLong(-1);
+    }
+
+    private static JsonNode status(ManagedProcess process) {
+        return Api.get(process.address(), "/v1/status");
+    }
+
+    private static String text(String mark) {
+        return ALLOWED + "age fleet-colina " + mark + "/ 5s # requested by M. Vera\n";
+    }
+
+    private static String largeText(String mark) {
+        StringBuilder text = new StringBuilder(ALLOWED);
+        for (int i = 0; text.length() < LARGE_TEXT; i++) {
+            text.append("age fleet-colina " + mark + i + "/ 5s # requested by M. Vera\n");
+        }
+        return text.toString();
+    }
+
+    /** Applies a version that only differs in its mark and does not widen the scopes. */
+    private long applyNext(String mark) {
+        long before = rulesVersion();
+        JsonNode answer = applyNext("apply-" + mark, text(mark));
+        assertThat(Api.outcome(answer)).as("%s", answer).isIn("done", "pending");
+        return before + 1;
+    }
+
+    private void awaitLeaderOtherThan(ManagedProcess former) {
+        harness.await(
+                "a leader other than " + former.name(),
+                () -> harness.leaders().stream().anyMatch(leader -> !leader.equals(former)));
+    }
+
+    private void awaitOnProxies(long version) {
+        harness.await(
+                "version " + version + " on both proxies",
+                () -> harness.proxies().stream().allMatch(p -> version(p) == version));
+    }
+
+    /** Returns how often the control processes have elected a leader. */
+    private long elections() {
+        return harness.controls().stream()
+                .flatMap(c -> c.logText().lines())
+                .filter(line -> line.contains("elected leader of term"))
+                .count();
+    }
+
+    /** The proxies and endpoints still reach the former leader, which must not answer them. */
+    @Test
+    void leaderThatWasCutOffNeitherRevertsRulesNorDisturbsItsSuccessor() {
+        long version = applyNext("before-cut");
+        awaitOnProxies(version);
+        ManagedProcess former = harness.leader();
+        try (CallerLoad load = CallerLoad.start("cut", harness.proxyAddresses(), CALLERS);
+                RulesWatch watch = new RulesWatch(harness.proxyAddresses())) {
+            harness.isolateControl(former.name());
+            JsonNode refused = apply(former.address(), version, "cut", "Cut", text("cut"));
+            assertThat(Api.outcome(refused)).as("%s", refused).isNotEqualTo("done");
+            awaitLeaderOtherThan(former);
+            harness.await(
+                    "the former leader stops leading",
+                    () -> !status(former).path("leads").asBoolean());
+            applyNext("during-cut-1");
+            applyNext("during-cut-2");
+            long next = applyNext("during-cut-3");
+            awaitOnProxies(next);
+            assertThat(version(former)).as("version of the isolated process").isLessThan(next);
+
+            ManagedProcess successor = harness.leader();
+            long elections = elections();
+            harness.reconnectControls();
+            harness.await("the returned process", () -> version(former) == next);
+            long end = System.nanoTime() + STABLE_NANOS;
+            while (System.nanoTime() - end < 0) {
+                assertThat(harness.leaders()).containsOnly(successor);
+            }
+            assertThat(elections()).as("elections after the return").isEqualTo(elections);
+            assertThat(rulesVersion()).isEqualTo(next);
+            awaitOnProxies(next);
+            load.awaitProgress(harness, SOME_WRITES);
+            load.finish();
+            watch.check();
+        }
+    }
+
+    @Test
+    void leaderWhoseDiskIsFullStepsDownAndLosesNoAcknowledgedVersion() {
+        ManagedProcess leader = harness.leader();
+        ManagedProcess limited =
+                harness.controls().stream()
+                        .filter(c -> !c.equals(leader))
+                        .findFirst()
+                        .orElseThrow();
+        limited.kill();
+        limited.startWithFileLimit(limited.largestFileKib() + FREE_KIB);
+        harness.await("the restarted process", () -> version(limited) == version(leader));
+        lead(limited);
+        long acknowledged = rulesVersion();
+        try (CallerLoad load = CallerLoad.start("disk", harness.proxyAddresses(), CALLERS);
+                RulesWatch watch = new RulesWatch(harness.proxyAddresses())) {
+            for (int i = 0; i < MAX_VERSIONS && failure(limited).isEmpty(); i++) {
+                String text = largeText("full-" + i);
+                acknowledged += acknowledged(limited, acknowledged, "full-" + i, text) ? 1 : 0;
+            }
+            harness.await("the failure in the state", () -> !failure(limited).isEmpty());
+            assertThat(failure(limited)).contains("File too large");
+            assertThat(status(limited).path("leads").asBoolean()).isFalse();
+            awaitLeaderOtherThan(limited);
+            assertThat(rulesVersion()).isGreaterThanOrEqualTo(acknowledged);
+            long next = applyNext("after-full");
+            awaitOnProxies(next);
+
+            limited.kill();
+            limited.start();
+            harness.await("the process with a larger disk", () -> version(limited) == next);
+            load.awaitProgress(harness, SOME_WRITES);
+            load.finish();
+            watch.check();
+        }
+    }
+
+    /** Returns whether a process acknowledged a version before its disk was full. */
+    private boolean acknowledged(ManagedProcess control, long before, String mark, String text) {
+        CompletableFuture<JsonNode> answer =
+                CompletableFuture.supplyAsync(
+                        () -> apply(control.address(), before, mark, "M. Vera", text));
+        harness.await(
+                "an answer or a full disk", () -> answer.isDone() || !failure(control).isEmpty());
+        JsonNode known = answer.getNow(MissingNode.getInstance());
+        return List.of("done", "pending").contains(Api.outcome(known));
+    }
+
+    /** Returns the failure that a process states; empty if it states none or does not answer. */
+    private static String failure(ManagedProcess control) {
+        JsonNode failure = status(control).path("failure");
+        return failure.isTextual() ? failure.asText() : "";
+    }
+
+    /** Freezes leaders until a process leads. */
+    private void lead(ManagedProcess wanted) {
+        ManagedProcess leader = harness.leader();
+        while (!leader.equals(wanted)) {
+            ManagedProcess former = leader;
+            former.freeze();
+            try {
+                awaitLeaderOtherThan(former);
+            } finally {
+                former.thaw();
+            }
+            harness.await("one leader", () -> harness.leaders().size() == 1);
+            leader = harness.leader();
+        }
+    }
 }
