Check that a primary without its group acknowledges nothing

Cause: nothing in the test showed that the cuts of a primary had an effect, so a switch that does nothing would have passed. Before: the test passed without this check.

--- a/app/src/test/java/org/ragwortmoor/process/HistoryFaultTest.java
+++ b/app/src/test/java/org/ragwortmoor/process/HistoryFaultTest.java
@@ -170,14 +170,33 @@
     @Test
     void primaryCutOffFromGroupAndControlLosesNoAcknowledgedWrite() {
         HistoryLoad load = load(5, 2 * LOAD_MILLIS);
+        List<CutTime> cuts = new ArrayList<>();
         for (FaultSwitch.Direction direction : FaultSwitch.Direction.values()) {
             String primary = harness.primary();
             harness.fault(primary, cutOff(primary, direction));
+            long start = System.nanoTime();
             pause(CUT_MILLIS);
+            cuts.add(new CutTime(primary, direction, start, System.nanoTime()));
             harness.fault(primary, new FaultSwitch.Clear());
             assertWritable("proxy-1", "proxy-2");
         }
-        assertThat(HistoryLoad.acknowledged(load.finish())).isNotEmpty();
+        List<HistoryRecord> acknowledged = HistoryLoad.acknowledged(load.finish());
+        assertThat(acknowledged).isNotEmpty();
+        for (CutTime cut : cuts) {
+            assertThat(acknowledged.stream().filter(cut::covers).toList())
+                    .as("writes acknowledged by a primary without its group: " + cut)
+                    .isEmpty();
+        }
+    }
+
+    /** A primary and the time in which it reached no other endpoint, in nanoseconds. */
+    private record CutTime(String primary, FaultSwitch.Direction direction, long start, long end) {
+        /** Returns whether the primary ran a request that was sent and answered in this time. */
+        boolean covers(HistoryRecord record) {
+            return primary.equals(record.answer().endpoint())
+                    && record.invoked() > start
+                    && record.answered() < end;
+        }
     }
 
     /**
