Tell the wait in an endpoint's queue from the length of a statement

Cause: a statement that was in flight for 50 ms became long, although it only waited in the endpoint's queue. That freed a short place in the proxy, so further statements followed into the queue, and its answer did not teach the in-flight limit, so the limit never saw the longest waits. At 2 slots the limits of all 7 proxies stayed near their first value of 4; only the connections (4 each) bounded the queue at 26 statements, 325 ms of work. Writes started in time by the estimate then reached their deadline in that queue.

One was a refusal that came late. The proxies counted up to 41 reclassified writes of 25 ms per group. Virtual time shows the same without a machine, which rules out the JVM, HTTP and the load tool as the only cause.

Change: the time until a running statement becomes long starts after the expected wait; the answer, which states the wait, decides what a statement teaches; the expected wait also counts the queue that the last answer reported, because the average follows a surge late.

--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
@@ -220,7 +220,8 @@
     private long expectedNanos(Task task) {
         Member primary = ctx.primary();
         boolean onPrimary = primary != null && task.lane() != Lane.REPLICA;
-        double endpoint = onPrimary ? primary.roundTripNanos() + 2 * primary.queueingNanos() : 0;
+        double endpoint =
+                onPrimary ? primary.roundTripNanos() + primary.expectedQueueingNanos() : 0;
         return classifier.expectedNanos(task.label()) + (long) endpoint + task.confirmationNanos();
     }
 
@@ -228,8 +229,23 @@
         refuseOverloaded(task, 20, "the request would end after its deadline");
     }
 
-    /** Learns from an executed statement. */
-    void served(Member member, WorkClass workClass, String label, long queuedNanos, long occupied) {
+    /**
+     * Learns from an executed statement.
+     *
+     * <p>The endpoint's answer tells the wait from the service, so a short statement that was
+     * reclassified because it waited long teaches the limit as well; otherwise the limit would
+     * never see the longest waits.
+     */
+    void served(
+            Member member,
+            WorkClass sentAs,
+            String label,
+            long queuedNanos,
+            long occupied,
+            int queuedThen) {
+        long service = Math.max(0, occupied - queuedNanos - (long) member.roundTripNanos());
+        boolean ranLong = settings.classes() && service > settings.longAfterNanos();
+        WorkClass workClass = ranLong ? WorkClass.LONG : sentAs;
         if (workClass == WorkClass.SHORT) {
             InFlightLimiter limiter = member.limiter();
             limiter.answered(member.running(WorkClass.SHORT), queuedNanos, occupied, ctx.now());
@@ -237,10 +253,9 @@
                 ctx.timers().at(limiter.pausedUntil(), () -> {});
             }
         }
-        long service = Math.max(0, occupied - queuedNanos - (long) member.roundTripNanos());
         classifier.served(label, service);
         if (workClass == WorkClass.SHORT) {
-            member.served(queuedNanos, service);
+            member.served(queuedNanos, service, queuedThen);
         }
         double average = occupied(workClass);
         occupiedNanos.put(
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Member.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Member.java
@@ -21,6 +21,7 @@
     private double lagNanos;
     private double serviceNanos;
     private double queueingNanos;
+    private double latestQueueNanos;
 
     Member(EndpointInfo info, InFlightLimiter limiter, long now) {
         this.info = info;
@@ -80,17 +81,27 @@
             status = next;
             statusSequence = sequence;
             // Keeps the estimate current for an endpoint that gets no statements.
-            queueing(next.queued() * serviceNanos / Math.max(1, info.slots()));
+            latestQueueNanos = queueNanos(next.queued());
+            queueing(latestQueueNanos);
         }
     }
 
-    /** Learns from an executed short statement. */
-    void served(long queuedNanos, long executionNanos) {
+    /**
+     * Learns from an executed short statement.
+     *
+     * @param queued statements that waited in the endpoint when this one ended
+     */
+    void served(long queuedNanos, long executionNanos, int queued) {
         serviceNanos =
                 serviceNanos == 0 ? executionNanos : mix(serviceNanos, (double) executionNanos);
+        latestQueueNanos = queueNanos(queued);
         queueing((double) queuedNanos);
     }
 
+    private double queueNanos(int queued) {
+        return queued * serviceNanos / Math.max(1, info.slots());
+    }
+
     private void queueing(double nanos) {
         queueingNanos = mix(queueingNanos, nanos);
     }
@@ -100,6 +111,14 @@
         return queueingNanos;
     }
 
+    /**
+     * Returns a time within which most short statements leave the endpoint's queue. The average
+     * follows a surge late, so the queue that the last answer reported counts as well.
+     */
+    double expectedQueueingNanos() {
+        return Math.max(2 * queueingNanos, latestQueueNanos);
+    }
+
     Position last() {
         return status == null ? Position.ZERO : status.last();
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Statement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Statement.java
@@ -16,6 +16,7 @@
     private final boolean keepConnection;
     private final Exchange.Handler next;
     private final long sentAt;
+    private final WorkClass sentAs;
     private WorkClass workClass;
     private boolean ended;
 
@@ -32,7 +33,8 @@
         this.keepConnection = keepConnection;
         this.next = next;
         this.sentAt = ctx.now();
-        this.workClass = task.workClass();
+        this.sentAs = task.workClass();
+        this.workClass = sentAs;
     }
 
     /**
@@ -51,10 +53,20 @@
         EngineContext ctx = task.ctx();
         Statement statement = new Statement(task, member, connection, keepConnection, next);
         member.started(statement.workClass);
-        ctx.after(ctx.settings().longAfterNanos(), statement::reclassify);
+        ctx.after(statement.runningTooLongAfter(), statement::reclassify);
         return ctx.pool().send(connection, call, statement);
     }
 
+    /**
+     * Returns the time after sending from which the statement counts as long. A wait in the
+     * endpoint's queue is not part of a statement's length; counted as such, it freed places for
+     * further statements while the queue was growing.
+     */
+    private long runningTooLongAfter() {
+        double before = member.roundTripNanos() + member.expectedQueueingNanos();
+        return ctx.settings().longAfterNanos() + (long) before;
+    }
+
     /** A statement that turns out long counts against the long permits from then on. */
     private void reclassify() {
         if (!ended && workClass == WorkClass.SHORT && ctx.settings().classes()) {
@@ -76,7 +88,7 @@
         if (answer instanceof EndpointAnswer.Result result) {
             long occupied = ctx.now() - sentAt;
             long queued = result.queuedMicros() * 1000;
-            ctx.admission().served(member, workClass, task.label(), queued, occupied);
+            ctx.admission().served(member, sentAs, task.label(), queued, occupied, result.queued());
         }
         boolean dirty = false;
         if (answer instanceof EndpointAnswer.Refused refused) {
