Allow for the error of the expected wait at admission

Cause: at 5 times the capacity the queue fills until the expected start of the next request is just in time, so every admitted request starts at the edge of its deadline. Each error of the estimate, and each stall of a busy machine, then ends in an unknown write or a refusal near the deadline.

Change: a request is refused on arrival if 1.5 times its expected wait, and not the wait itself, leads past its deadline. A queue of two thirds of the deadline still never runs empty during a surge. A short burst that would just have been served in time is refused earlier than before.

--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
@@ -15,6 +15,13 @@
     /** A waiting request is refused at least this long before its deadline. */
     private static final long REFUSAL_LEAD_NANOS = 4 * MILLI;
 
+    /**
+     * Allowance for the error of an expected wait. At 5 times the capacity every admitted request
+     * starts just as late as this estimate allows, so without it each error ends in an answer after
+     * the deadline; the shorter queue still never runs empty.
+     */
+    private static final double WAIT_ALLOWANCE = 1.5;
+
     private final EngineContext ctx;
     private final EngineSettings settings;
     private final WorkClassifier classifier;
@@ -65,7 +72,7 @@
                     100);
             return;
         }
-        long start = ctx.now() + expectedWait(task);
+        long start = ctx.now() + (long) (WAIT_ALLOWANCE * expectedWait(task));
         long late = start + expectedNanos(task) - task.request().deadline();
         if (settings.classes() && late > 0) {
             refuseOverloaded(task, late / MILLI + 1, "the request would start too late");
