Test the resolution of lost writes and the position check of replicas

Cause: two mutations of the engine survived its tests: a write without an answer was sent again as a new attempt instead of being resolved, and ReadTask.check no longer compared the position of a replica's answer with the session's.

The first test loses the connection under a running write and expects the calls Write (attempt 1), Resolve (attempt 1), Write (attempt 2), and one entry in the log. The second truncates both replicas between their status and the read and expects the answer of the primary.

--- a/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/FakeGroup.java
@@ -76,6 +76,9 @@
         private long wakeAt = Long.MAX_VALUE;
         boolean dead;
 
+        /** Every statement and status request that the engine sent. */
+        Consumer<EngineAction.Send> observer = send -> {};
+
         /** Whether this proxy learns of new primaries. */
         boolean informed = true;
 
@@ -170,6 +173,7 @@
                     time.after(delay, () -> e.disconnected(global(close.connection())));
                 }
             } else if (action instanceof EngineAction.Send send) {
+                observer.accept(send);
                 long delay = MILLI + random.nextInt(200_000);
                 time.after(delay, () -> deliver(send));
             }
--- a/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/engine/GroupEngineTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.ragwortmoor.state.Position;
+import org.ragwortmoor.state.endpoint.EndpointCall;
 import org.ragwortmoor.state.endpoint.Operation;
 import org.ragwortmoor.state.endpoint.WriteIdentity;
 
@@ -293,4 +294,74 @@
         assertThat(refusal(call(get("k", ReadLevel.STRONG, Position.ZERO))))
                 .isIn(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.OVERLOADED);
     }
+
+    /**
+     * Guards against a retry under a new attempt number while the first attempt may still arrive: a
+     * refusal of the second would then say "not run" of a write that runs.
+     */
+    @Test
+    void writeWithoutAnswerIsResolvedBeforeItsNextAttempt() {
+        group.time.runUntil(300 * MILLI);
+        List<EngineAction.Send> sent = new ArrayList<>();
+        proxy.observer =
+                send -> {
+                    if (send.call() instanceof EndpointCall.Write
+                            || send.call() instanceof EndpointCall.Resolve) {
+                        sent.add(send);
+                    }
+                };
+        List<CallerAnswer> ended = new ArrayList<>();
+        CallerRequest.Write write = increment("k", "w1");
+        proxy.call(
+                new CallerRequest.Write(
+                        write.id(),
+                        "s",
+                        write.operations(),
+                        write.identity(),
+                        false,
+                        "book",
+                        100_000,
+                        group.time.now() + 1000 * MILLI),
+                ended::add);
+        group.time.runUntil(group.time.now() + 20 * MILLI);
+        assertThat(sent).hasSize(1);
+        proxy.handle(new EngineEvent.ConnectionLost(sent.get(0).connection(), "reset"));
+        group.time.runUntil(group.time.now() + 1000 * MILLI);
+        assertThat(ended).hasOnlyElementsOfType(CallerAnswer.Done.class).hasSize(1);
+        assertThat(sent.stream().map(EngineAction.Send::call).toList())
+                .extracting(call -> call.getClass().getSimpleName())
+                .containsExactly("Write", "Resolve", "Write");
+        assertThat(((EndpointCall.Resolve) sent.get(1).call()).identity())
+                .isEqualTo(new WriteIdentity("w1", 1));
+        assertThat(((EndpointCall.Write) sent.get(2).call()).identity())
+                .isEqualTo(new WriteIdentity("w1", 2));
+        assertThat(group.primary().log.stream().filter(e -> !e.operations().isEmpty())).hasSize(1);
+    }
+
+    /** Guards against a stale answer of replicas that lost entries after their last status. */
+    @Test
+    void replicaThatLostTheSessionsPositionAnswersNoRead() {
+        group.time.runUntil(300 * MILLI);
+        call(increment("k", "w1"));
+        CallerAnswer.Done written = (CallerAnswer.Done) call(increment("k", "w2"));
+        List<EngineAction.Send> reads = new ArrayList<>();
+        proxy.observer =
+                send -> {
+                    if (send.call() instanceof EndpointCall.Read) {
+                        reads.add(send);
+                    }
+                };
+        FakeEndpoint older = new FakeEndpoint("older", 1, group.time);
+        older.promote(1);
+        for (FakeEndpoint replica : List.of(group.find("e1"), group.find("e2"))) {
+            group.stalled.add(replica.name);
+            replica.fetch(older, 50);
+            assertThat(replica.last()).isLessThan(written.position());
+        }
+        CallerAnswer answer = call(get("k", ReadLevel.SESSION, written.position()));
+        assertThat(reads).as("a replica and then the primary").hasSize(2);
+        CallerAnswer.Done read = (CallerAnswer.Done) answer;
+        assertThat(read.replica()).isFalse();
+        assertThat(read.records().get(0).value().get()).isEqualTo("2");
+    }
 }
