--- a/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/engine/Admission.java
@@ -15,6 +15,13 @@
     /** A waiting request is refused at least this long before its deadline. */
     private static final long REFUSAL_LEAD_NANOS = 4 * MILLI;
 
+    /**
+     * Allowance for the error of an expected wait. At 5 times the capacity every admitted request
+     * starts just as late as this estimate allows, so without it each error ends in an answer after
+     * the deadline; the shorter queue still never runs empty.
+     */
+    private static final double WAIT_ALLOWANCE = 1.5;
+
     private final EngineContext ctx;
     private final EngineSettings settings;
     private final WorkClassifier classifier;
@@ -65,7 +72,7 @@
                     100);
             return;
         }
-        long start = ctx.now() + expectedWait(task);
+        long start = ctx.now() + (long) (WAIT_ALLOWANCE * expectedWait(task));
         long late = start + expectedNanos(task) - task.request().deadline();
         if (settings.classes() && late > 0) {
             refuseOverloaded(task, late / MILLI + 1, "the request would start too late");
@@ -220,7 +227,8 @@
     private long expectedNanos(Task task) {
         Member primary = ctx.primary();
         boolean onPrimary = primary != null && task.lane() != Lane.REPLICA;
-        double endpoint = onPrimary ? primary.roundTripNanos() + 2 * primary.queueingNanos() : 0;
+        double endpoint =
+                onPrimary ? primary.roundTripNanos() + primary.expectedQueueingNanos() : 0;
         return classifier.expectedNanos(task.label()) + (long) endpoint + task.confirmationNanos();
     }
 
@@ -228,8 +236,23 @@
         refuseOverloaded(task, 20, "the request would end after its deadline");
     }
 
-    /** Learns from an executed statement. */
-    void served(Member member, WorkClass workClass, String label, long queuedNanos, long occupied) {
+    /**
+     * Learns from an executed statement.
+     *
+     * <p>The endpoint's answer tells the wait from the service, so a short statement that was
+     * reclassified because it waited long teaches the limit as well; otherwise the limit would
+     * never see the longest waits.
+     */
+    void served(
+            Member member,
+            WorkClass sentAs,
+            String label,
+            long queuedNanos,
+            long occupied,
+            int queuedThen) {
+        long service = Math.max(0, occupied - queuedNanos - (long) member.roundTripNanos());
+        boolean ranLong = settings.classes() && service > settings.longAfterNanos();
+        WorkClass workClass = ranLong ? WorkClass.LONG : sentAs;
         if (workClass == WorkClass.SHORT) {
             InFlightLimiter limiter = member.limiter();
             limiter.answered(member.running(WorkClass.SHORT), queuedNanos, occupied, ctx.now());
@@ -237,10 +260,9 @@
                 ctx.timers().at(limiter.pausedUntil(), () -> {});
             }
         }
-        long service = Math.max(0, occupied - queuedNanos - (long) member.roundTripNanos());
         classifier.served(label, service);
         if (workClass == WorkClass.SHORT) {
-            member.served(queuedNanos, service);
+            member.served(queuedNanos, service, queuedThen);
         }
         double average = occupied(workClass);
         occupiedNanos.put(
