--- a/core/src/main/java/org/ragwortmoor/coordination/control/ControlUpdate.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/ControlUpdate.java
@@ -9,15 +9,18 @@
  *
  * @param proxy proxy that sent the report
  * @param leaderTerm consensus term of the leader; a proxy ignores updates of lower terms
- * @param reportSequence sequence of the report
+ * @param reportSequence sequence of the report; 0 in a request for a complete report, which has no
+ *     other content
  * @param reportSentAt {@code sentAt} of the report
  * @param rulesLeaseMillis validity of the rules from {@code reportSentAt} on, in milliseconds
  * @param shareLeaseMillis validity of the shares from {@code reportSentAt} on, in milliseconds
  * @param rules newest rules, if the report named an older version
  * @param pending pending rules with wider scopes that the proxy has not prepared yet
  * @param groups the groups that changed after the revision that the proxy acknowledged
- * @param shares the proxy's share of each endpoint that it reported; of all others it has none
- * @param tokenKeys keys for session tokens, newest first
+ * @param shares the proxy's share of each endpoint that it reported, of all others it has none; in
+ *     the answer to a report with a base, only the shares that changed after the answer to the base
+ * @param tokenKeys keys for session tokens, newest first; empty if the state has not changed since
+ *     the revision that the proxy acknowledged
  * @param proxyIncarnation incarnation that sent the report; a restarted proxy ignores the update
  * @param groupsRevision revision of the directory after this update; the proxy acknowledges it
  */
@@ -42,6 +45,29 @@
         tokenKeys = List.copyOf(tokenKeys);
     }
 
+    /** Returns the answer to a report whose base the leader does not have. */
+    static ControlUpdate requestComplete(ProxyReport report, long leaderTerm) {
+        return new ControlUpdate(
+                report.proxy(),
+                leaderTerm,
+                0,
+                report.sentAt(),
+                0,
+                0,
+                Option.none(),
+                Option.none(),
+                List.of(),
+                List.of(),
+                List.of(),
+                report.incarnation(),
+                0);
+    }
+
+    /** Returns whether the leader asks for a complete report and grants nothing. */
+    public boolean requestsComplete() {
+        return reportSequence == 0;
+    }
+
     /** A version of the rule file. */
     public record RulesText(long version, String text) {}
 
