Back up the control state and restore it into a new control group

Cause: a control quorum that was lost for good took rule history, terms, members, operation results and token keys with it.

Ruled out: restoring into a running blank group, because its leader would decide before the state arrives; one folder per run, because the members could not pin each other's incarnations; raising terms by a fixed step, because a second restore of the same file would give the numbers of the first again; a reported version of -1 as a sign of a proxy without rules, because reports clamp it to 0.

Before: no backup. A proxy without rules took the empty version 0 also from an update without a rules lease, and did not prepare a pending version.

`restore` writes one data folder per member. The restored rules version awaits confirmation: no proxy gets it or a lease until an operator applies a file that expects it. The rule history is walked by entries, because a restore skips very many numbers.

Changed assertion: RulesGateTest expected CONFIRMED for a pending version that reaches a proxy without rules. Such a proxy must prepare it now, or wider scopes would wait for it for good after a restore. The test expects CHANGED instead, and also checks the prepared and the active version.

Conclusion: RestoredStateTest (0.5 s), ControlBackupTest (0.3 s, each byte flipped, each truncation) and RestoreTest (7.3 s, embedded deployment that loses all control folders) pass together with the tests of rules, state, commands and HTTP. The first run of RestoreTest failed: it compared terms before the promotion had ended; it waits for the higher term now.

--- a/app/src/main/java/org/ragwortmoor/cli/Commands.java
+++ b/app/src/main/java/org/ragwortmoor/cli/Commands.java
@@ -88,6 +88,11 @@
                             "members repair",
                             "Replaces a control member that lost its disk.",
                             MembersRepair::new),
+                    new CommandEntry("backup", "Takes the control state into a file.", Backup::new),
+                    new CommandEntry(
+                            "restore",
+                            "Writes the data folders of a new control group from a backup.",
+                            Restore::new),
                     new CommandEntry(
                             "settings",
                             "Prints the reference of all settings.",
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlLink.java
@@ -127,10 +127,14 @@
 
     /**
      * Adds the empty version 0 if the leader has no rules: this update answers a report of version
-     * 0, so a leader with rules would have sent them.
+     * 0, so a leader with rules would have sent them. Without a lease nothing is added: after a
+     * restore the leader holds its rules back until an operator has confirmed them, and the scopes
+     * of a first file do not wait for a proxy that is no member.
      */
     private static ControlUpdate withInitialRules(ControlUpdate update, long active) {
-        if (active != RulesGate.NO_VERSION || update.rules().isDefined()) {
+        if (active != RulesGate.NO_VERSION
+                || update.rules().isDefined()
+                || update.rulesLeaseMillis() == 0) {
             return update;
         }
         return new ControlUpdate(
--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -202,6 +202,9 @@
                     status.put("failure", log.failure().map(StorageError::message).getOrNull());
                     status.put("rulesVersion", dump.rulesVersion());
                     status.put("rulesInForce", dump.rulesInForce());
+                    status.put(
+                            "rulesAwaitConfirmation",
+                            loop.machine().state().rules().awaitsConfirmation());
                     status.put("pendingRulesVersion", dump.pendingVersion().getOrElse(0L));
                     status.put("waitingFor", dump.waitingFor());
                     status.put("notInForceOn", dump.notInForceOn());
--- a/app/src/main/java/org/ragwortmoor/daemon/EmbeddedDeployment.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/EmbeddedDeployment.java
@@ -231,6 +231,16 @@
         return Map.copyOf(controls);
     }
 
+    /** Returns the peer addresses of the control processes by node identifier. */
+    public Map<String, String> members() {
+        return Map.copyOf(members);
+    }
+
+    /** Returns the data folder of a control process. */
+    public Path dataFolder(String node) {
+        return folder.resolve(node);
+    }
+
     /** Returns the stand-in endpoint with this identifier. */
     public StandinServer endpoint(String endpoint) {
         return endpoints.get(endpoint).server();
--- a/app/src/main/java/org/ragwortmoor/daemon/OperatorService.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/OperatorService.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
@@ -10,6 +11,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.ragwortmoor.backup.ControlBackup;
+import org.ragwortmoor.coordination.consensus.ClusterStatus;
 import org.ragwortmoor.coordination.consensus.MemberRepair;
 import org.ragwortmoor.coordination.control.CommandResult;
 import org.ragwortmoor.coordination.control.ControlDump;
@@ -82,11 +85,43 @@
                                     rules.current().flatMap(RuleHistory.Entry::text).getOrElse(""),
                                     rules.inForce() >= rules.version(),
                                     waiting,
-                                    rules.pending().map(RuleHistory.Entry::version).getOrElse(0L));
-                    return OperatorAnswer.done("version " + rules.version(), body);
+                                    rules.pending().map(RuleHistory.Entry::version).getOrElse(0L),
+                                    rules.awaitsConfirmation());
+                    return OperatorAnswer.done(rulesMessage(rules), body);
                 });
     }
 
+    private static String rulesMessage(RuleHistory rules) {
+        return rules.awaitsConfirmation()
+                ? "version "
+                        + rules.version()
+                        + " was restored from a backup and scoped records are held back; apply the"
+                        + " rules that are to be in force with --expect-version "
+                        + rules.version()
+                : "version " + rules.version();
+    }
+
+    /** The state is immutable, so it is encoded outside of the loop, which must not wait. */
+    @Override
+    public OperatorAnswer backup() {
+        OperatorAnswer taken = onLoop(() -> OperatorAnswer.done("", taken()));
+        if (!(taken.body() instanceof ControlBackup backup)) {
+            return taken;
+        }
+        String file = Base64.getEncoder().encodeToString(backup.encode());
+        return OperatorAnswer.done("backup up to index " + backup.index(), new BackupBody(file));
+    }
+
+    private ControlBackup taken() {
+        ClusterStatus status = loop.log().status(System.nanoTime());
+        return new ControlBackup(
+                status.self().node(),
+                System.currentTimeMillis(),
+                loop.machine().core().dump().leaderTerm(),
+                status.commitIndex(),
+                loop.machine().state());
+    }
+
     @Override
     public OperatorAnswer rulesHistory() {
         return onLoop(
--- a/app/src/main/java/org/ragwortmoor/http/ControlApi.java
+++ b/app/src/main/java/org/ragwortmoor/http/ControlApi.java
@@ -15,6 +15,9 @@
     /** Returns who applied which version and when. */
     OperatorAnswer rulesHistory();
 
+    /** Returns a backup of the replicated state, which holds the token keys. */
+    OperatorAnswer backup();
+
     /** Announces that an endpoint is leaving. */
     CompletionStage<OperatorAnswer> drainEndpoint(EndpointBody body);
 
@@ -71,11 +74,27 @@
         }
     }
 
+    /**
+     * A backup.
+     *
+     * @param file content of the backup file in base64
+     */
+    record BackupBody(String file) {}
+
     /** One line of the rule history. */
     record HistoryLine(
             long version, String operator, long appliedAtMillis, String operationId, int lines) {}
 
-    /** The newest rule file. */
+    /**
+     * The newest rule file.
+     *
+     * @param awaitsConfirmation whether the version was made by a restore and no proxy gets it
+     */
     record RulesBody(
-            long version, String text, boolean inForce, List<String> waitingFor, long pending) {}
+            long version,
+            String text,
+            boolean inForce,
+            List<String> waitingFor,
+            long pending,
+            boolean awaitsConfirmation) {}
 }
--- a/app/src/main/java/org/ragwortmoor/http/ControlController.java
+++ b/app/src/main/java/org/ragwortmoor/http/ControlController.java
@@ -7,6 +7,8 @@
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Post;
+import io.micronaut.scheduling.TaskExecutors;
+import io.micronaut.scheduling.annotation.ExecuteOn;
 import java.util.concurrent.CompletionStage;
 import org.ragwortmoor.http.ControlApi.ApplyBody;
 import org.ragwortmoor.http.ControlApi.EndpointBody;
@@ -39,6 +41,12 @@
         return response(control.rulesHistory());
     }
 
+    @Get("/backup")
+    @ExecuteOn(TaskExecutors.BLOCKING)
+    HttpResponse<OperatorAnswer> backup() {
+        return response(control.backup());
+    }
+
     @Post("/endpoints/drain")
     CompletionStage<HttpResponse<OperatorAnswer>> drainEndpoint(@Body EndpointBody body) {
         return respond(control.drainEndpoint(body));
--- a/core/src/main/java/org/ragwortmoor/coordination/activation/RulesSnapshot.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/activation/RulesSnapshot.java
@@ -67,8 +67,11 @@
         }
         Option<RulesVersion> nextActive = newer(active, newActive);
         if (nextActive.isEmpty()) {
-            // Without a version there is nothing that the lease could keep valid.
-            return Either.right(new RulesSnapshot(term, nextActive, prepared, leaseDeadline));
+            // Without a version there is nothing that the lease could keep valid. A version is
+            // prepared all the same: after a restore wider scopes wait for this proxy.
+            return Either.right(
+                    new RulesSnapshot(
+                            term, nextActive, newer(prepared, newPrepared), leaseDeadline));
         }
         long reached = nextActive.get().version();
         Option<RulesVersion> nextPrepared =
--- a/core/src/main/java/org/ragwortmoor/coordination/control/GroupTransitions.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/GroupTransitions.java
@@ -63,6 +63,11 @@
             return refused(state, "group size must be at least 1, not " + c.size());
         }
         GroupState created = GroupState.create(c.group(), c.size(), state.revision() + 1);
+        long floor = state.rules().restoreFloor();
+        if (floor > 0) {
+            // The group may have had terms between the backup and the restore.
+            created = created.begun(floor, "registered after a restore");
+        }
         return accepted(state, created, 0, "group " + c.group() + " registered");
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/control/RuleActivation.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/RuleActivation.java
@@ -40,10 +40,12 @@
     /**
      * Returns the rules lease for a report in milliseconds.
      *
-     * <p>A proxy that is not a member yet gets none: wider scopes do not wait for it.
+     * <p>A proxy that is not a member yet gets none: wider scopes do not wait for it. After a
+     * restore no proxy gets one until an operator has applied a file, so that all scoped records
+     * are held back: a file that was accepted after the backup is not known here.
      */
     long lease(ProxyReport report, ControlState state, long now) {
-        if (!state.members().containsKey(report.proxy())) {
+        if (!state.members().containsKey(report.proxy()) || state.rules().awaitsConfirmation()) {
             return 0;
         }
         leasedUntil.put(report.proxy(), now + LEASE_NANOS);
@@ -53,7 +55,7 @@
     Option<RulesText> rulesFor(ProxyReport report, ControlState state) {
         return state.rules()
                 .current()
-                .filter(e -> e.version() > report.rulesVersion())
+                .filter(e -> e.version() > report.rulesVersion() && !e.restored())
                 .map(RuleActivation::text);
     }
 
@@ -106,6 +108,7 @@
                                         now));
         long version = state.rules().version();
         if (version > state.rules().inForce()
+                && !state.rules().awaitsConfirmation()
                 && !(proposed == version && now - proposedAt < Outbox.REPROPOSE_NANOS)
                 && inForce(state, version, now)) {
             proposed = version;
--- a/core/src/main/java/org/ragwortmoor/coordination/control/RuleTransitions.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/control/RuleTransitions.java
@@ -89,6 +89,9 @@
         if (c.version() > state.rules().version()) {
             return refused(state, "version " + c.version() + " is not accepted");
         }
+        if (state.rules().accepted().get(c.version()).exists(RuleHistory.Entry::restored)) {
+            return refused(state, "version " + c.version() + " awaits the confirmation of a file");
+        }
         return Tuple.of(
                 state.withRules(state.rules().markInForce(c.version(), c.timeMillis())),
                 CommandResult.accepted(c.version(), "version " + c.version() + " is in force"));
@@ -120,13 +123,11 @@
                                 Option.of(winner.winner())));
     }
 
-    /** Looks versions up by number, because versions of withdrawn files are skipped. */
+    /** Versions of withdrawn files are skipped, and a restore skips many numbers. */
     private static Option<RuleHistory.Entry> firstAfter(RuleHistory rules, long version) {
-        long next = version + 1;
-        while (next < rules.version() && !rules.accepted().containsKey(next)) {
-            next++;
-        }
-        return rules.accepted().get(next);
+        return rules.accepted()
+                .get(version + 1)
+                .orElse(() -> rules.accepted().find(e -> e._1 > version).map(e -> e._2));
     }
 
     private static RuleHistory.Entry entry(
