--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -1,6 +1,5 @@
 package org.ragwortmoor.daemon;
 
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -81,7 +80,10 @@
                         transportMetrics,
                         config.nodeId(),
                         (event, now) -> loop.endpointEvent(event));
-        registerMetrics();
+        ControlMetrics.register(
+                registry,
+                loop::ready,
+                () -> onLoop(() -> log.status(System.nanoTime()).commitIndex()));
         http =
                 HttpServer.start(
                         config.httpHost(),
@@ -152,22 +154,6 @@
     /** The recovered log and its state machine. */
     private record Opened(ReplicatedLog log, ControlMachine machine) {}
 
-    private void registerMetrics() {
-        GaugeWithCallback.builder()
-                .name("ragwortmoor_control_ready")
-                .help("1 while this process leads and answers")
-                .callback(sink -> sink.call(loop.ready() ? 1 : 0))
-                .register(registry);
-        GaugeWithCallback.builder()
-                .name("ragwortmoor_control_commit_index")
-                .help("Last committed index of the replicated log")
-                .callback(
-                        sink ->
-                                sink.call(
-                                        onLoop(() -> log.status(System.nanoTime()).commitIndex())))
-                .register(registry);
-    }
-
     /** Returns the port of the HTTP API. */
     public int httpPort() {
         return http.port();
