List the settings of the load tool on the settings page

Cause: `ragwortmoor settings` printed three of the four roles.

Ruled out: a second page, because the test compares one page with the code.

Before: docs/settings.md had no section of the load tool. After: the page has a section `load`, generated from LoadSettings.ROLE.

Conclusion: SettingsTest, which compares the page with the code, passes.

--- a/app/src/main/java/org/ragwortmoor/settings/SettingsReference.java
+++ b/app/src/main/java/org/ragwortmoor/settings/SettingsReference.java
@@ -1,11 +1,16 @@
 package org.ragwortmoor.settings;
 
 import java.util.List;
+import org.ragwortmoor.load.LoadSettings;
 
 /** The reference page of all settings, {@code docs/settings.md}. */
 public final class SettingsReference {
     private static final List<Role<?>> ROLES =
-            List.of(ProxySettings.ROLE, ControlSettings.ROLE, EndpointSettings.ROLE);
+            List.of(
+                    ProxySettings.ROLE,
+                    ControlSettings.ROLE,
+                    EndpointSettings.ROLE,
+                    LoadSettings.ROLE);
 
     private static final String INTRODUCTION =
             """
