Lock the folder of an export and resume its second pass by page

Cause: two exports into one folder wrote into the same files, and an interrupted second pass began again from the first key.

Before, with the new tests: ExportTest failed (the second export went on), and PrefixExportTest.anInterruptedSecondPassContinuesAtItsPage failed ("the scan returned c/2 after c/2"). The tests of an expired session in both passes and of further records in the second pass passed without a change.

The second pass compares page by page with the file and saves its place. The digest of the first pass is kept, so that a file changed between two runs of the second pass starts again. Bytes that a crash left behind the last synced page are cut at the end of the first pass.

Changed in tests: the constructor calls of PrefixState have the new fields, and the stub answers "forbidden" once its pages are used up.

--- a/app/src/main/java/org/ragwortmoor/handback/Export.java
+++ b/app/src/main/java/org/ragwortmoor/handback/Export.java
@@ -62,7 +62,12 @@
      */
     JsonNode run() throws HandBackException, IOException {
         Files.createDirectories(plan.folder());
-        Path manifestFile = plan.folder().resolve(Manifest.FILE);
+        try (ExportLock lock = ExportLock.take(plan.folder())) {
+            return run(lock.folder().resolve(Manifest.FILE));
+        }
+    }
+
+    private JsonNode run(Path manifestFile) throws HandBackException, IOException {
         if (Files.exists(manifestFile)) {
             return finished(manifestFile);
         }
@@ -136,7 +141,7 @@
             return found;
         }
         try (Stream<Path> present = Files.list(plan.folder())) {
-            if (present.anyMatch(p -> !p.getFileName().toString().endsWith(".tmp"))) {
+            if (present.anyMatch(p -> !expected(p.getFileName().toString()))) {
                 throw new HandBackException(
                         ExitCode.USAGE,
                         plan.folder() + " holds files and no export state; use an empty folder");
@@ -146,26 +151,22 @@
         for (RuleLine line : rules.partnerLines()) {
             Rule.Partner rule = (Rule.Partner) line.rule();
             prefixes.add(
-                    new PrefixState(
+                    PrefixState.first(
                             "records-%04d.jsonl".formatted(prefixes.size() + 1),
                             line.line(),
                             line.requester().description(),
                             rule.group(),
-                            rule.prefix(),
-                            "",
-                            "",
-                            0,
-                            0,
-                            List.of(),
-                            "",
-                            false,
-                            ""));
+                            rule.prefix()));
         }
         String time = Instant.now().truncatedTo(ChronoUnit.MILLIS).toString();
         return new ExportState(
                 plan.partner(), rules.version(), time, plan.concurrentWrites(), prefixes);
     }
 
+    private static boolean expected(String file) {
+        return file.endsWith(".tmp") || file.equals(ExportLock.FILE);
+    }
+
     private HandBackException changedRules() {
         return new HandBackException(
                 ExitCode.REFUSED,
--- a/app/src/main/java/org/ragwortmoor/handback/ExportFiles.java
+++ b/app/src/main/java/org/ragwortmoor/handback/ExportFiles.java
@@ -55,6 +55,14 @@
         return offset + content.length;
     }
 
+    /** Returns up to {@code length} bytes from {@code offset} on; fewer at the end of the file. */
+    static byte[] read(Path file, long offset, int length) throws IOException {
+        try (InputStream in = Files.newInputStream(file)) {
+            in.skipNBytes(offset);
+            return in.readNBytes(length);
+        }
+    }
+
     private static void write(FileChannel channel, byte[] content) throws IOException {
         ByteBuffer buffer = ByteBuffer.wrap(content);
         while (buffer.hasRemaining()) {
--- a/app/src/main/java/org/ragwortmoor/handback/Manifest.java
+++ b/app/src/main/java/org/ragwortmoor/handback/Manifest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.List;
 import org.ragwortmoor.cli.Main;
 
 /** The manifest of a complete export. */
@@ -12,6 +13,10 @@
     static final int FORMAT = 1;
     private static final String DIGEST = "sha256";
 
+    /** Fields of a prefix that only a resumed export needs. */
+    private static final List<String> PROGRESS =
+            List.of("after", "complete", "checking", "firstSha256", "checkedAfter", "checkedBytes");
+
     private Manifest() {}
 
     /** Returns the manifest of a complete export. */
@@ -26,8 +31,7 @@
                         .put("concurrentWrites", state.concurrentWrites())
                         .put("toolVersion", toolVersion());
         manifest.set("files", ExportFiles.JSON.valueToTree(state.prefixes()));
-        manifest.path("files")
-                .forEach(f -> ((ObjectNode) f).remove(java.util.List.of("after", "complete")));
+        manifest.path("files").forEach(f -> ((ObjectNode) f).remove(PROGRESS));
         manifest.put(DIGEST, digest(manifest));
         return manifest;
     }
--- a/app/src/main/java/org/ragwortmoor/handback/PrefixExport.java
+++ b/app/src/main/java/org/ragwortmoor/handback/PrefixExport.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.security.MessageDigest;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Predicate;
 import org.ragwortmoor.cli.ExitCode;
@@ -54,12 +54,11 @@
         PrefixState current = begin(state);
         for (int pass = 1; pass <= MAX_PASSES; pass++) {
             try {
-                current = pages(current);
-                String end = reader.confirmedPosition();
-                String digest = ExportFiles.sha256(folder.resolve(current.file()));
-                boolean agreed = secondPass().equals(digest);
-                if (agreed || concurrentWrites) {
-                    progress.save(current.completed(end, agreed, digest));
+                current = current.checking() ? current : firstPass(current);
+                boolean agreed = secondPass(current);
+                boolean kept = digest(current).equals(current.firstSha256());
+                if (kept && (agreed || concurrentWrites)) {
+                    progress.save(current.completed(agreed));
                     return;
                 }
             } catch (PositionLostException e) {
@@ -118,16 +117,46 @@
         }
     }
 
-    private String secondPass() throws HandBackException {
-        MessageDigest digest = ExportFiles.sha256();
-        String after = "";
+    /** Ends with a confirmed position, which every page of the second pass contains. */
+    private PrefixState firstPass(PrefixState state) throws HandBackException, IOException {
+        PrefixState read = pages(state);
+        // Drops what a crash left behind the last synced page.
+        ExportFiles.append(folder.resolve(read.file()), read.bytes(), new byte[0]);
+        PrefixState ended = read.ended(reader.confirmedPosition(), digest(read));
+        progress.save(ended);
+        return ended;
+    }
+
+    private String digest(PrefixState state) throws IOException {
+        return ExportFiles.sha256(folder.resolve(state.file()));
+    }
+
+    /**
+     * Compares page by page with the file, so that an interrupted pass continues at its page;
+     * returns whether both passes found the same records. No progress is saved from a difference
+     * on, so that a resumed pass finds it again.
+     */
+    private boolean secondPass(PrefixState state) throws HandBackException, IOException {
+        Path file = folder.resolve(state.file());
+        PrefixState current = state;
+        String after = state.checkedAfter();
+        boolean agreed = true;
         while (true) {
             JsonNode page = reader.page(after, pageRecords);
             if (!page.hasNonNull("scannedTo")) {
-                return ExportFiles.hex(digest);
+                return agreed && current.checkedBytes() == current.bytes();
             }
-            digest.update(lines(page, after).bytes());
+            byte[] found = lines(page, after).bytes();
             after = page.path("scannedTo").asText();
+            agreed =
+                    agreed
+                            && Arrays.equals(
+                                    found,
+                                    ExportFiles.read(file, current.checkedBytes(), found.length));
+            if (agreed) {
+                current = current.checked(after, current.checkedBytes() + found.length);
+                progress.save(current);
+            }
         }
     }
 
--- a/app/src/test/java/org/ragwortmoor/handback/ExportCheckTest.java
+++ b/app/src/test/java/org/ragwortmoor/handback/ExportCheckTest.java
@@ -116,7 +116,10 @@
                         List.of(),
                         "1:6",
                         true,
-                        ExportFiles.sha256(file));
+                        ExportFiles.sha256(file),
+                        ExportFiles.sha256(file),
+                        "",
+                        Files.size(file));
         ObjectNode manifest =
                 Manifest.of(
                         new ExportState("C", 1, "2026-01-01T00:00:00Z", false, List.of(prefix)));
--- a/app/src/test/java/org/ragwortmoor/handback/ExportTest.java
+++ b/app/src/test/java/org/ragwortmoor/handback/ExportTest.java
@@ -96,6 +96,15 @@
                                 () -> {
                                     if (resumed.incrementAndGet() == 1) {
                                         first.add(state(out));
+                                        // Two exports would mix their pages in one file.
+                                        assertThatThrownBy(
+                                                        () ->
+                                                                export(
+                                                                        deployment,
+                                                                        out,
+                                                                        false,
+                                                                        () -> {}))
+                                                .hasMessageContaining("another export");
                                     } else if (resumed.get() == 2) {
                                         deployment.killEndpoint(primary(deployment));
                                         dailyWrites.set(other.writes());
--- a/app/src/test/java/org/ragwortmoor/handback/PrefixExportTest.java
+++ b/app/src/test/java/org/ragwortmoor/handback/PrefixExportTest.java
@@ -24,6 +24,8 @@
 /** Guards against pages of different histories in one file, and against withheld records. */
 class PrefixExportTest {
     private static final String END = "'records':[],'withheld':0";
+    private static final String EXPIRED = "'error':{'kind':'TOKEN_EXPIRED','message':'expired'}";
+    private static final String FORBIDDEN = "'error':{'kind':'FORBIDDEN','message':'forbidden'}";
     private static final String LOST = "'error':{'kind':'POSITION_LOST','message':'lost'}";
 
     @TempDir Path folder;
@@ -31,6 +33,7 @@
     private final Deque<String> pages = new ArrayDeque<>();
     private final Deque<String> positions = new ArrayDeque<>();
     private final List<PrefixState> saved = new ArrayList<>();
+    private final List<String> scannedAfter = new ArrayList<>();
     private HttpServer server;
 
     @AfterEach
@@ -81,12 +84,60 @@
                 .hasMessageContaining("allow read session=clerk");
     }
 
+    /** A session lasts an hour; a long export must go on at the same page with a new one. */
+    @Test
+    void anExpiredSessionIsReplacedInBothPasses() throws Exception {
+        pages.addAll(List.of(page("c/1", "a"), EXPIRED, page("c/2", "b"), END));
+        pages.addAll(List.of(page("c/1", "a"), EXPIRED, page("c/2", "b"), END));
+        positions.addAll(List.of("1:5", "1:6", "1:7", "1:8"));
+        export(false);
+        assertThat(scannedAfter).containsExactly("", "c/1", "c/1", "c/2", "", "c/1", "c/1", "c/2");
+        PrefixState last = saved.get(saved.size() - 1);
+        assertThat(List.of(last.barrier(), last.end())).containsExactly("1:5", "1:7");
+        assertThat(last.confirmed()).isTrue();
+        assertThat(Files.readAllLines(folder.resolve("r.jsonl"))).hasSize(2);
+    }
+
+    /** The second pass reads as much as the first, so an interruption must not repeat it. */
+    @Test
+    void anInterruptedSecondPassContinuesAtItsPage() throws Exception {
+        pages.addAll(List.of(page("c/1", "a"), page("c/2", "b"), END));
+        pages.addAll(List.of(page("c/1", "a"), FORBIDDEN));
+        positions.addAll(List.of("1:5", "1:6"));
+        assertThatThrownBy(() -> export(false)).hasMessageContaining("forbidden");
+        server.stop(0);
+        scannedAfter.clear();
+        pages.addAll(List.of(page("c/2", "b"), END));
+        positions.add("1:7");
+        export(false, saved.get(saved.size() - 1));
+        assertThat(scannedAfter).containsExactly("c/1", "c/2");
+        PrefixState last = saved.get(saved.size() - 1);
+        assertThat(List.of(last.barrier(), last.end())).containsExactly("1:5", "1:6");
+        assertThat(last.confirmed()).isTrue();
+    }
+
+    /** A record that only the second pass finds must not be missing from a confirmed file. */
+    @Test
+    void aSecondPassWithFurtherRecordsRestartsThePrefix() throws Exception {
+        pages.addAll(List.of(page("c/1", "a"), END, page("c/1", "a"), page("c/2", "b"), END));
+        pages.addAll(List.of(page("c/1", "a"), page("c/2", "b"), END));
+        pages.addAll(List.of(page("c/1", "a"), page("c/2", "b"), END));
+        positions.addAll(List.of("1:5", "1:6", "1:7", "1:8"));
+        export(false);
+        assertThat(saved.get(saved.size() - 1).barrier()).isEqualTo("1:7");
+        assertThat(Files.readAllLines(folder.resolve("r.jsonl"))).hasSize(2);
+    }
+
     private static String page(String key, String value) {
         return "'records':[{'key':'%s','value':'%s'}],'withheld':0,'scannedTo':'%s'"
                 .formatted(key, value, key);
     }
 
     private void export(boolean concurrent) throws Exception {
+        export(concurrent, PrefixState.first("r.jsonl", 2, "Court", "g", "c/"));
+    }
+
+    private void export(boolean concurrent, PrefixState state) throws Exception {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.createContext("/v1/sessions", e -> answer(e, 200, "'token':'t'"));
         server.createContext("/v1/read", this::read);
@@ -99,9 +150,6 @@
                         "g",
                         "c/",
                         Deadline.after(Duration.ofSeconds(60), "try again"));
-        PrefixState state =
-                new PrefixState(
-                        "r.jsonl", 2, "Court", "g", "c/", "", "", 0, 0, List.of(), "", false, "");
         new PrefixExport(reader, folder, key -> true, 1, concurrent, saved::add).run(state);
     }
 
@@ -111,8 +159,10 @@
             answer(exchange, 200, "'token':'t','position':'" + positions.remove() + "'," + END);
             return;
         }
-        String next = pages.remove();
-        boolean refused = next.equals(LOST);
+        scannedAfter.add(ExportFiles.JSON.readTree(body).path("scan").path("after").asText());
+        // Without a page left, the answer ends the export instead of leaving it waiting.
+        String next = pages.isEmpty() ? FORBIDDEN : pages.remove();
+        boolean refused = next.startsWith("'error'");
         answer(exchange, refused ? 400 : 200, "'token':'t','position':'9:9'," + next);
     }
 
