Keep the temporary file of another backup, and test higher promises

Cause: a backup wrote to FILE.tmp and deleted this file also if it belonged to another run or to the operator.

Ruled out: a lock beside the file; a new temporary name needs none.

Before: create() deleted an existing FILE.tmp when it could not create it (found by reading; the test was added with the change and not run before it).

After: the temporary file has a new name and only the permissions of its owner. RestoredStateTest also checks that an endpoint that promised a term above the floor of a restore is met with a still higher one.

--- a/app/src/main/java/org/ragwortmoor/backup/PrivateFiles.java
+++ b/app/src/main/java/org/ragwortmoor/backup/PrivateFiles.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.PosixFilePermissions;
-import java.util.Set;
 
 /** Files and folders that only their owner may read, because they hold the token keys. */
 public final class PrivateFiles {
@@ -24,13 +23,10 @@
      */
     public static void create(Path file, byte[] content) throws IOException {
         Path target = file.toAbsolutePath();
-        Path temporary = target.resolveSibling(target.getFileName() + TEMPORARY);
-        try (FileChannel channel =
-                FileChannel.open(
-                        temporary,
-                        Set.of(StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE),
-                        PosixFilePermissions.asFileAttribute(
-                                PosixFilePermissions.fromString("rw-------")))) {
+        // Readable by its owner only; the name is new, so another run keeps its own file.
+        Path temporary =
+                Files.createTempFile(target.getParent(), target.getFileName() + "-", TEMPORARY);
+        try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.WRITE)) {
             ByteBuffer buffer = ByteBuffer.wrap(content);
             while (buffer.hasRemaining()) {
                 channel.write(buffer);
--- a/app/src/main/java/org/ragwortmoor/cli/Backup.java
+++ b/app/src/main/java/org/ragwortmoor/cli/Backup.java
@@ -37,7 +37,7 @@
         try {
             PrivateFiles.create(file, content);
         } catch (FileAlreadyExistsException e) {
-            return failure(e.getFile() + " exists; name a new file, or delete a left-over one");
+            return failure(file + " exists; name a new file");
         } catch (IOException | UnsupportedOperationException e) {
             return failure(file + " cannot be written (" + e + "); choose another folder");
         }
--- a/app/src/test/java/org/ragwortmoor/backup/ControlBackupTest.java
+++ b/app/src/test/java/org/ragwortmoor/backup/ControlBackupTest.java
@@ -114,12 +114,14 @@
             assertThat(permissions(path)).isEqualTo("rwx------");
         }
         Path file = folder.resolve("backup");
+        // The file of another run must stay.
+        Files.writeString(folder.resolve("backup.tmp"), "x");
         PrivateFiles.create(file, backup().encode());
         assertThat(permissions(file)).isEqualTo("rw-------");
         assertThatThrownBy(() -> PrivateFiles.create(file, new byte[1]))
                 .isInstanceOf(FileAlreadyExistsException.class);
         assertThat(Files.readAllBytes(file)).isEqualTo(backup().encode());
-        assertThat(entries(folder)).containsExactly("backup", "out");
+        assertThat(entries(folder)).containsExactly("backup", "backup.tmp", "out");
     }
 
     private static String permissions(Path path) throws Exception {
--- a/core/src/test/java/org/ragwortmoor/coordination/control/RestoredStateTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/control/RestoredStateTest.java
@@ -137,4 +137,18 @@
         assertThat(fixture.proxies.values()).allMatch(p -> p.rulesVersion == FLOOR + 1);
         assertThat(List.copyOf(fixture.core.dump().waitingFor())).isEmpty();
     }
+
+    /** A clock that once ran ahead can have led to a promise above the floor. */
+    @Test
+    void anEndpointThatPromisedAHigherTermIsMetWithAStillHigherOne() {
+        ControlFixture fixture = new ControlFixture(5).standard(3);
+        fixture.run(3_000);
+        fixture.state = RestoredState.of(fixture.state, FLOOR).get();
+        fixture.at("e1").promised = FLOOR + 9;
+        fixture.at("e2").promised = FLOOR + 9;
+        fixture.newLeader();
+        fixture.run(5_000);
+        assertThat(fixture.group().term()).isEqualTo(FLOOR + 10);
+        assertThat(fixture.group().promoting()).isFalse();
+    }
 }
