--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/directory/DecisionLines.java
@@ -0,0 +1,161 @@
+package org.ragwortmoor.directory;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Option;
+import java.util.function.LongSupplier;
+import org.ragwortmoor.coordination.session.DecisionLog;
+import org.ragwortmoor.state.Position;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes the session engine's decisions as structured lines and counts them. Successes are only
+ * counted; other lines are limited in number, and what was left out is stated.
+ */
+final class DecisionLines implements DecisionLog {
+    /** Lines of one second at most; a line costs about as much as serving a statement. */
+    private static final int LINES_PER_SECOND = 40;
+
+    private static final long SECOND_NANOS = 1_000_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(DecisionLines.class);
+
+    private final LongSupplier clock;
+    private final Counter statements;
+    private final Counter connections;
+    private final Histogram latency;
+    private long second;
+    private int lines;
+    private long omitted;
+
+    DecisionLines(PrometheusRegistry registry, LongSupplier clock) {
+        this.clock = clock;
+        this.statements =
+                Counter.builder()
+                        .name("ragwortmoor_statements_total")
+                        .help("Ended statements by outcome")
+                        .labelNames("outcome")
+                        .register(registry);
+        this.connections =
+                Counter.builder()
+                        .name("ragwortmoor_server_connections_ended_total")
+                        .help("Server connections that failed to open or were lost")
+                        .labelNames("kind")
+                        .register(registry);
+        this.latency =
+                Histogram.builder()
+                        .name("ragwortmoor_statement_seconds")
+                        .help("Time from the arrival of a statement to its answer")
+                        .classicOnly()
+                        .register(registry);
+    }
+
+    @Override
+    public void statement(
+            String id,
+            String database,
+            String server,
+            String outcome,
+            String reason,
+            Option<Position> required,
+            int attempts,
+            long nanos) {
+        statements.labelValues(outcome).inc();
+        latency.observe(nanos / NANOS_PER_SECOND);
+        if (!outcome.equals("ok") && admit()) {
+            LOG.info(
+                    "event=statement id={} database={} server={} outcome={} reason=\"{}\""
+                            + " required={} attempts={} ms={}",
+                    id,
+                    database,
+                    server,
+                    outcome,
+                    reason,
+                    required.getOrNull(),
+                    attempts,
+                    nanos / NANOS_PER_MILLI);
+        }
+    }
+
+    @Override
+    public void connectionFailed(String group, String server, String reason) {
+        connections.labelValues("failed").inc();
+        if (admit()) {
+            LOG.info(
+                    "event=connection_failed group={} server={} reason=\"{}\"",
+                    group,
+                    server,
+                    reason);
+        }
+    }
+
+    @Override
+    public void connectionLost(String group, String server, String reason) {
+        connections.labelValues("lost").inc();
+        if (admit()) {
+            LOG.info(
+                    "event=connection_lost group={} server={} reason=\"{}\"",
+                    group,
+                    server,
+                    reason);
+        }
+    }
+
+    @Override
+    public void leaderChanged(String group, String from, String to, String reason) {
+        LOG.info(
+                "event=primary_changed group={} from={} to={} reason=\"{}\"",
+                group,
+                from,
+                to,
+                reason);
+    }
+
+    @Override
+    public void leaderDenied(String group, String server, long term) {
+        LOG.info("event=primary_denied group={} server={} highest_term={}", group, server, term);
+    }
+
+    @Override
+    public void leaderConfirmed(String group, String server, long term) {
+        LOG.info("event=primary_confirmed group={} server={} term={}", group, server, term);
+    }
+
+    @Override
+    public void directoryApplied(long routesVersion, long routesRevision, long serversRevision) {
+        LOG.info(
+                "event=directory_applied routes_version={} routes_revision={} servers_revision={}",
+                routesVersion,
+                routesRevision,
+                serversRevision);
+    }
+
+    @Override
+    public void sessionEnded(String database, String reason) {
+        if (admit()) {
+            LOG.info("event=session_ended database={} reason=\"{}\"", database, reason);
+        }
+    }
+
+    private boolean admit() {
+        long now = clock.getAsLong();
+        if (now - second >= SECOND_NANOS) {
+            if (omitted > 0) {
+                LOG.info("event=lines_omitted count={}", omitted);
+            }
+            second = now;
+            lines = 0;
+            omitted = 0;
+        }
+        if (lines >= LINES_PER_SECOND) {
+            omitted++;
+            return false;
+        }
+        lines++;
+        return true;
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -0,0 +1,478 @@
+package org.ragwortmoor.directory;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.ragwortmoor.coordination.consensus.ConsensusAction;
+import org.ragwortmoor.coordination.consensus.ConsensusEvent;
+import org.ragwortmoor.coordination.directory.CallOutcome;
+import org.ragwortmoor.coordination.directory.FailoverAction;
+import org.ragwortmoor.coordination.directory.FailoverCoordinator;
+import org.ragwortmoor.coordination.directory.MembershipKeeper;
+import org.ragwortmoor.protocol.ConsensusCodec;
+import org.ragwortmoor.protocol.DirectoryCodec;
+import org.ragwortmoor.protocol.PeerBody;
+import org.ragwortmoor.protocol.PeerEnvelope;
+import org.ragwortmoor.protocol.wire.DirectoryMessage;
+import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
+import org.ragwortmoor.protocol.wire.JoinMessage;
+import org.ragwortmoor.protocol.wire.NodeReportMessage;
+import org.ragwortmoor.protocol.wire.PrimaryObservationMessage;
+import org.ragwortmoor.state.directory.DirectoryCommand;
+import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.Promotion;
+import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.state.log.Member;
+import org.ragwortmoor.state.log.MemberId;
+import org.ragwortmoor.state.log.StorageError;
+import org.ragwortmoor.state.routes.RouteTable;
+import org.ragwortmoor.transport.PeerClient;
+import org.ragwortmoor.transport.PeerListener;
+import org.ragwortmoor.transport.PeerServer;
+import org.ragwortmoor.transport.StatementClient;
+import org.ragwortmoor.transport.TransportMetrics;
+import org.ragwortmoor.transport.TransportSettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A directory process: the replicated directory, and the leader's decisions about members, servers
+ * and promotions. Everything runs on one event loop, so the order of events is the order of
+ * decisions.
+ */
+public final class DirectoryNode implements DirectoryApi, AutoCloseable {
+    /** Short against the heartbeat of 100 ms. */
+    private static final long TICK_MILLIS = 20;
+
+    /** Interval of requests to join, in nanoseconds. */
+    private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Pause before a data folder that failed is opened again, in milliseconds. */
+    private static final long REOPEN_MILLIS = 500;
+
+    /** Time to hand leadership over and to answer what is in progress, in milliseconds. */
+    private static final long STOP_MILLIS = 400;
+
+    private static final Logger LOG = LoggerFactory.getLogger(DirectoryNode.class);
+
+    private final DirectorySettings settings;
+    private final MemberAddresses addresses;
+    private final EventLoop loop;
+    private final PromotionCaller promotions;
+    private final PeerClient peers;
+    private final PeerServer server;
+    private final StatementClient statements;
+    private final DirectoryRequests requests;
+    private final ProxyRegistry proxies = new ProxyRegistry();
+    private final MembershipKeeper keeper = new MembershipKeeper();
+    private final FailoverCoordinator failover = new FailoverCoordinator();
+    private List<String> seeds;
+    private DirectoryLog log;
+    private boolean ready;
+    private long joinedAt;
+    private boolean closed;
+
+    /**
+     * Starts the process.
+     *
+     * @param loops an event loop group with one loop
+     * @param registry takes the counters of the transports
+     * @throws IOException if an address is taken
+     */
+    public DirectoryNode(
+            DirectorySettings settings,
+            EventLoopGroup loops,
+            PromotionCaller promotions,
+            PrometheusRegistry registry)
+            throws IOException {
+        this.settings = settings;
+        this.addresses = new MemberAddresses(settings.peerPort());
+        this.loop = loops.next();
+        this.promotions = promotions;
+        this.seeds = settings.seeds();
+        this.joinedAt = System.nanoTime();
+        String host = settings.controlAddress().ip().getHostAddress();
+        TransportSettings transport = TransportSettings.forPeers(host);
+        TransportMetrics metrics = new TransportMetrics(registry);
+        statements = new StatementClient(loops, host);
+        requests = new DirectoryRequests(this);
+        Listener listener = new Listener();
+        String self = settings.controlAddress().toString();
+        peers = new PeerClient(transport, self, loop, listener, metrics, new Random());
+        server =
+                new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
+        loop.execute(this::open);
+        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void open() {
+        if (closed) {
+            return;
+        }
+        Either<StorageError, DirectoryLog> opened =
+                DirectoryLog.open(settings, addresses, new LogListener());
+        if (opened.isLeft()) {
+            LOG.warn(
+                    "event=storage_unavailable reason=\"{}\" retry_ms={}",
+                    opened.getLeft().message(),
+                    REOPEN_MILLIS);
+            loop.schedule(this::open, REOPEN_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        log = opened.get();
+        LOG.info(
+                "event=log_opened self={} last={} configuration={}",
+                log.log().node().self(),
+                log.log().node().lastPosition(),
+                log.log().node().configuration().members());
+    }
+
+    /** Takes other seeds, when the settings have changed. */
+    public void reseed(List<String> changed) {
+        loop.execute(
+                () -> {
+                    LOG.info("event=reload seeds={}", changed);
+                    seeds = List.copyOf(changed);
+                });
+    }
+
+    @Override
+    public CompletionStage<Outcome> putRoutes(RouteTable table) {
+        return requests.putRoutes(table).thenApply(Routes::outcome);
+    }
+
+    @Override
+    public CompletionStage<Routes> readRoutes() {
+        return requests.readRoutes();
+    }
+
+    @Override
+    public CompletionStage<Outcome> announce(ServerRecord record, long sequence) {
+        return requests.announce(record, sequence).thenApply(Routes::outcome);
+    }
+
+    /** Returns the state as text lines, for the state dump. */
+    public List<String> dump() {
+        List<String> lines = new ArrayList<>();
+        if (log != null) {
+            lines.addAll(log.log().dump(System.nanoTime()).lines().toList());
+            lines.add("routes version=" + log.state().routes().version());
+            log.state().servers().values().forEach(s -> lines.add(s.toString()));
+            lines.addAll(failover.describe());
+        }
+        return lines;
+    }
+
+    boolean leads() {
+        return log != null && log.leads();
+    }
+
+    DirectoryState state() {
+        return log == null ? DirectoryState.EMPTY : log.state();
+    }
+
+    void propose(DirectoryCommand command, Consumer<Boolean> done) {
+        log.propose(command, done);
+    }
+
+    /** Sends a message to the leader; returns false if none is known. */
+    boolean sendToLeader(DirectoryMessage message) {
+        if (log == null) {
+            return false;
+        }
+        Option<MemberId> leader = log.log().leader();
+        boolean other = leader.exists(id -> !id.equals(log.log().node().self()));
+        return other
+                && peers.send(addresses.of(leader.get().node()), ProxyRegistry.body(message));
+    }
+
+    private void tick() {
+        try {
+            long now = System.nanoTime();
+            requests.expire(now);
+            if (log == null) {
+                return;
+            }
+            if (log.log().failure().isDefined()) {
+                reopen();
+                return;
+            }
+            log.handle(new ConsensusEvent.Tick());
+            checkReady();
+            if (ready) {
+                keeper.next(log.log().status(now)).forEach(log::change);
+                failover.tick(state(), now).forEach(this::perform);
+            } else {
+                askToJoin(now);
+            }
+        } catch (RuntimeException e) {
+            LOG.error("event=tick_failed outcome=process_ends", e);
+            System.exit(3);
+        }
+    }
+
+    private void reopen() {
+        LOG.warn("event=storage_failed reason=\"{}\"", log.log().failure().get().message());
+        log.close();
+        log = null;
+        ready = false;
+        loop.schedule(this::open, REOPEN_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkReady() {
+        boolean leads = log.leads();
+        if (leads == ready) {
+            return;
+        }
+        ready = leads;
+        LOG.info("event={} term={}", leads ? "leading" : "not_leading", log.log().node().term());
+        if (leads) {
+            long now = System.nanoTime();
+            keeper.restart();
+            failover.restart(now);
+            proxies.elected(now);
+        }
+    }
+
+    /** A process outside of the configuration hears from no leader and cannot become one. */
+    private void askToJoin(long now) {
+        boolean blank = log.log().node().lastPosition().index() == 0;
+        MemberId self = log.log().node().self();
+        boolean member = log.log().node().configuration().member(self).isDefined();
+        boolean led = log.log().leader().isDefined();
+        boolean wanting = (!member || !led) && !(blank && settings.bootstrap() && isSeed());
+        if (!wanting || now - joinedAt < JOIN_NANOS) {
+            return;
+        }
+        joinedAt = now;
+        DirectoryMessage join =
+                DirectoryMessage.newBuilder()
+                        .setJoin(
+                                JoinMessage.newBuilder()
+                                        .setNode(self.node())
+                                        .setIncarnation(self.incarnation())
+                                        .setAddress(addresses.of(self.node())))
+                        .build();
+        for (String address : knownPeers()) {
+            peers.send(address, ProxyRegistry.body(join));
+        }
+    }
+
+    private boolean isSeed() {
+        return settings.seeds().contains(settings.controlAddress().toString());
+    }
+
+    private Set<String> knownPeers() {
+        Set<String> known = new LinkedHashSet<>(memberAddresses());
+        seeds.forEach(seed -> known.add(addresses.of(seed)));
+        known.remove(addresses.of(settings.controlAddress().toString()));
+        return known;
+    }
+
+    private List<String> memberAddresses() {
+        return log == null
+                ? List.of()
+                : log.log().node().configuration().members().stream()
+                        .map(Member::address)
+                        .toList();
+    }
+
+    private void perform(FailoverAction action) {
+        if (action instanceof FailoverAction.Survey survey) {
+            ServerRecord record = survey.server();
+            ServerSurvey.start(
+                    statements,
+                    record,
+                    survey.suspend(),
+                    position -> failover.surveyed(record.group(), record.id(), position));
+        } else if (action instanceof FailoverAction.Order order) {
+            LOG.info(
+                    "event=promotion_ordered group={} server={} reason=\"{}\"",
+                    order.group(),
+                    order.server(),
+                    order.reason());
+            String self = settings.controlAddress().toString();
+            log.propose(
+                    new DirectoryCommand.OrderPromotion(order.group(), order.server(), self),
+                    done -> {});
+        } else if (action instanceof FailoverAction.Call call) {
+            call(call);
+        } else if (action instanceof FailoverAction.Resume resume) {
+            ServerSurvey.resume(statements, resume.server());
+        }
+    }
+
+    private void call(FailoverAction.Call call) {
+        String self = settings.controlAddress().toString();
+        promotions
+                .promote(new Promotion(call.group(), call.server(), self, call.token()))
+                .whenCompleteAsync(
+                        (outcome, error) -> {
+                            CallOutcome known = error == null ? outcome : CallOutcome.UNKNOWN;
+                            LOG.info(
+                                    "event=promotion_called group={} server={} token={} outcome={}"
+                                            + " error={}",
+                                    call.group(),
+                                    call.server(),
+                                    call.token(),
+                                    known,
+                                    String.valueOf(error));
+                            failover.answered(
+                                    call.group(), call.token(), known, System.nanoTime());
+                        },
+                        loop);
+    }
+
+    private void push() {
+        if (ready) {
+            proxies.push(state(), memberAddresses(), System.nanoTime());
+        }
+    }
+
+    private final class LogListener implements DirectoryLog.Listener {
+        @Override
+        public void send(ConsensusAction.Send send) {
+            byte[] bytes = ConsensusCodec.encode(send.message()).toByteArray();
+            peers.send(
+                    addresses.of(send.message().to().node()),
+                    new PeerBody.Consensus(ByteString.copyFrom(bytes)));
+        }
+
+        @Override
+        public void elected(long term) {
+            LOG.info("event=elected term={}", term);
+        }
+
+        @Override
+        public void deposed(String reason) {
+            LOG.info("event=deposed reason=\"{}\"", reason);
+        }
+
+        @Override
+        public void applied(DirectoryCommand command, long index) {
+            String self = settings.controlAddress().toString();
+            if (command instanceof DirectoryCommand.OrderPromotion order
+                    && ready
+                    && order.holder().equals(self)) {
+                failover.ordered(order.group(), order.server(), index, System.nanoTime())
+                        .forEach(DirectoryNode.this::perform);
+            }
+            push();
+        }
+    }
+
+    private final class Listener implements PeerListener {
+        @Override
+        public void received(PeerEnvelope message, Reply reply) {
+            if (log == null) {
+                return;
+            }
+            if (message.body() instanceof PeerBody.Consensus consensus) {
+                ConsensusCodec.decode(consensus.message().toByteArray())
+                        .peek(m -> log.handle(new ConsensusEvent.Received(m)))
+                        .peekLeft(e -> LOG.warn("event=message_ignored reason=\"{}\"", e));
+                checkReady();
+            } else if (message.body() instanceof PeerBody.Directory directory) {
+                DirectoryCodec.decodeMessage(directory.message())
+                        .peek(m -> directory(m, reply))
+                        .peekLeft(e -> LOG.warn("event=message_ignored reason=\"{}\"", e));
+            }
+        }
+
+        private void directory(DirectoryMessage message, Reply reply) {
+            checkReady();
+            switch (message.getBodyCase()) {
+                case REPORT -> report(message.getReport(), reply);
+                case JOIN -> join(message);
+                case REQUEST ->
+                        requests.received(
+                                message.getRequest(), m -> reply.send(ProxyRegistry.body(m)));
+                case ANSWER -> requests.answered(message.getAnswer());
+                default -> LOG.warn("event=message_ignored body={}", message.getBodyCase());
+            }
+        }
+
+        private void join(DirectoryMessage message) {
+            JoinMessage join = message.getJoin();
+            if (ready) {
+                keeper.asked(
+                        new MemberId(join.getNode(), join.getIncarnation()),
+                        join.getAddress(),
+                        System.nanoTime());
+            } else if (!join.getNode().equals(settings.controlAddress().toString())) {
+                sendToLeader(message);
+            }
+        }
+
+        private void report(NodeReportMessage report, Reply reply) {
+            long now = System.nanoTime();
+            if (!ready) {
+                DirectoryUpdateMessage members =
+                        DirectoryUpdateMessage.newBuilder()
+                                .addAllMembers(memberAddresses())
+                                .build();
+                reply.send(
+                        ProxyRegistry.body(
+                                DirectoryMessage.newBuilder().setUpdate(members).build()));
+                return;
+            }
+            proxies.reported(report, reply, now);
+            for (PrimaryObservationMessage seen : report.getPrimariesList()) {
+                failover.observed(
+                        report.getProxy(),
+                        seen.getGroup(),
+                        seen.getServer(),
+                        TimeUnit.MILLISECONDS.toNanos(seen.getSilentMillis()),
+                        seen.getRefused(),
+                        now);
+            }
+            proxies.answer(report.getProxy(), state(), memberAddresses(), now);
+        }
+    }
+
+    /**
+     * Begins a planned stop: leadership is handed over, so that the stop costs no election timeout.
+     *
+     * @return completes when the process may end
+     */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(
+                () -> {
+                    LOG.info("event=stop leads={}", leads());
+                    if (log != null) {
+                        log.handle(new ConsensusEvent.TransferLeadership());
+                    }
+                    loop.schedule(
+                            () -> {
+                                close();
+                                done.complete(null);
+                            },
+                            STOP_MILLIS,
+                            TimeUnit.MILLISECONDS);
+                });
+        return done;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        if (log != null) {
+            log.close();
+            log = null;
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -0,0 +1,124 @@
+package org.ragwortmoor.directory;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.ragwortmoor.settings.Address;
+import org.ragwortmoor.settings.Role;
+import org.ragwortmoor.settings.Setting;
+import org.ragwortmoor.settings.SettingValues;
+import org.ragwortmoor.settings.ValueType;
+import org.ragwortmoor.settings.ValueTypes;
+
+/**
+ * Settings of a directory process.
+ *
+ * @param failureDomain failure domain in which it runs
+ * @param controlAddress address for servers and operators; it also identifies the process
+ * @param peerPort port for other processes, the same on all machines
+ * @param seeds control addresses of some directory processes
+ * @param bootstrap whether the whole system starts for the first time
+ * @param dataFolder folder of the durable state
+ * @param promotionAddress address of the interface that promotes servers; empty if there is none
+ */
+public record DirectorySettings(
+        String failureDomain,
+        Address controlAddress,
+        int peerPort,
+        List<String> seeds,
+        boolean bootstrap,
+        Path dataFolder,
+        String promotionAddress) {
+    /** Addresses separated by commas, or nothing. */
+    static final ValueType<List<String>> SEEDS =
+            new ValueType<>("IP:PORT,..., or nothing", DirectorySettings::addresses);
+
+    /** {@code true}, or anything else for false. */
+    static final ValueType<Boolean> FLAG =
+            new ValueType<>("true or false", text -> Either.right(text.equals("true")));
+
+    /** Any text, also an empty one. */
+    static final ValueType<String> TEXT = new ValueType<>("a text", Either::right);
+
+    /** Failure domain of the process. */
+    static final Setting<String> DOMAIN =
+            Setting.required(
+                    "failure-domain", ValueTypes.NAME, "Work stays in the domain where it can.");
+
+    /** Port for other processes. */
+    static final Setting<Long> PEER_PORT =
+            Setting.required(
+                    "peer-port",
+                    ValueTypes.number(1, 65_535),
+                    "Other processes connect here; the same on all machines.");
+
+    /** Control addresses of some directory processes. */
+    static final Setting<List<String>> SEED_ADDRESSES =
+            Setting.required(
+                    "seeds", SEEDS, "The first processes to ask for the others and the leader.");
+
+    private static final Setting<Address> CONTROL =
+            Setting.required(
+                    "control-address",
+                    ValueTypes.ADDRESS,
+                    "Servers and operators call here; it identifies the process.");
+    private static final Setting<Boolean> BOOTSTRAP =
+            Setting.of(
+                    "bootstrap",
+                    FLAG,
+                    "",
+                    "false",
+                    "The seeds form a new group; only for the first start with empty folders.");
+    private static final Setting<Path> DATA =
+            Setting.required("data-folder", ValueTypes.PATH, "The durable state lives here.");
+    private static final Setting<String> PROMOTION =
+            Setting.of(
+                    "promotion-address",
+                    TEXT,
+                    "",
+                    "",
+                    "Promotions of servers are ordered here; without it none are.");
+
+    /** The role of directory processes. */
+    public static final Role<DirectorySettings> ROLE =
+            new Role<>(
+                    "directory",
+                    "Runs a directory process: routes, servers, promotions.",
+                    List.of(
+                            DOMAIN, CONTROL, PEER_PORT, SEED_ADDRESSES, BOOTSTRAP, DATA, PROMOTION),
+                    DirectorySettings::of,
+                    settings -> List.of());
+
+    /** Copies the seeds. */
+    public DirectorySettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    private static DirectorySettings of(SettingValues values) {
+        return new DirectorySettings(
+                values.value(DOMAIN),
+                values.value(CONTROL),
+                values.number(PEER_PORT),
+                values.value(SEED_ADDRESSES),
+                values.value(BOOTSTRAP),
+                values.value(DATA),
+                values.value(PROMOTION));
+    }
+
+    private static Either<String, List<String>> addresses(String text) {
+        List<String> found = new ArrayList<>();
+        for (String part : Arrays.asList(text.split(",", -1))) {
+            if (part.isBlank()) {
+                continue;
+            }
+            Either<String, Address> address = Address.parse(part.strip());
+            if (address.isLeft()) {
+                return Either.left(address.getLeft());
+            }
+            found.add(part.strip());
+        }
+        return Either.right(List.copyOf(found));
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -0,0 +1,104 @@
+package org.ragwortmoor.directory;
+
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.ragwortmoor.protocol.DirectoryCodec;
+import org.ragwortmoor.protocol.PeerBody;
+import org.ragwortmoor.protocol.wire.DirectoryMessage;
+import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
+import org.ragwortmoor.protocol.wire.NodeReportMessage;
+import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.state.directory.ServerState;
+import org.ragwortmoor.transport.PeerListener;
+
+/** The proxies that report to this process, and the updates that they are sent. */
+final class ProxyRegistry {
+    /** Time after its last report for which a proxy counts, in nanoseconds. */
+    private static final long LIFE = TimeUnit.SECONDS.toNanos(10);
+
+    /** Time after an election in which the number of proxies is not known, in nanoseconds. */
+    private static final long COUNTING = TimeUnit.SECONDS.toNanos(2);
+
+    private final Map<String, Known> proxies = new HashMap<>();
+    private long countingSince;
+
+    private static final class Known {
+        PeerListener.Reply reply;
+        long routesRevision;
+        long serversRevision;
+        long reportedAt;
+    }
+
+    /** Starts to count the proxies anew. */
+    void elected(long now) {
+        proxies.clear();
+        countingSince = now;
+    }
+
+    void reported(NodeReportMessage report, PeerListener.Reply reply, long now) {
+        Known known = proxies.computeIfAbsent(report.getProxy(), name -> new Known());
+        known.reply = reply;
+        known.routesRevision = report.getRoutesRevision();
+        known.serversRevision = report.getServersRevision();
+        known.reportedAt = now;
+    }
+
+    /** Returns the number of proxies that share the servers; 0 if it is not known. */
+    int count(long now) {
+        proxies.values().removeIf(p -> now - p.reportedAt > LIFE);
+        return now - countingSince < COUNTING ? 0 : proxies.size();
+    }
+
+    /** Sends one proxy what it lacks. */
+    void answer(String proxy, DirectoryState state, List<String> members, long now) {
+        Known known = proxies.get(proxy);
+        if (known != null) {
+            send(known, state, members, now);
+        }
+    }
+
+    /** Sends all proxies that lack something what they lack. */
+    void push(DirectoryState state, List<String> members, long now) {
+        for (Known known : proxies.values()) {
+            if (known.routesRevision < state.routesRevision()
+                    || known.serversRevision < state.serversRevision()) {
+                send(known, state, members, now);
+            }
+        }
+    }
+
+    private void send(Known known, DirectoryState state, List<String> members, long now) {
+        DirectoryUpdateMessage.Builder update =
+                DirectoryUpdateMessage.newBuilder()
+                        .setLeader(true)
+                        .addAllMembers(members)
+                        .setProxies(count(now))
+                        .setRoutesRevision(state.routesRevision())
+                        .setServersRevision(state.serversRevision());
+        if (known.routesRevision < state.routesRevision()) {
+            update.setRoutes(DirectoryCodec.encode(state.routes(), false));
+        }
+        if (known.serversRevision < state.serversRevision()) {
+            update.setHasServers(true);
+            for (ServerRecord server : state.servers().values()) {
+                if (server.state() != ServerState.GONE) {
+                    boolean primary =
+                            state.primary(server.group()).exists(p -> p.id().equals(server.id()));
+                    update.addServers(DirectoryCodec.encode(server.withPrimary(primary)));
+                }
+            }
+        }
+        // An update may be lost; the next report of the proxy then shows what it still lacks.
+        known.routesRevision = state.routesRevision();
+        known.serversRevision = state.serversRevision();
+        known.reply.send(body(DirectoryMessage.newBuilder().setUpdate(update).build()));
+    }
+
+    static PeerBody body(DirectoryMessage message) {
+        return new PeerBody.Directory(ByteString.copyFrom(message.toByteArray()));
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -0,0 +1,199 @@
+package org.ragwortmoor.directory;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.ragwortmoor.coordination.session.SessionEngine;
+import org.ragwortmoor.coordination.session.SessionHost;
+import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.transport.PeerClient;
+import org.ragwortmoor.transport.StatementClient;
+import org.ragwortmoor.transport.StatementServer;
+import org.ragwortmoor.transport.TransportMetrics;
+import org.ragwortmoor.transport.TransportSettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A proxy of the statement protocol. Sessions, servers and reports run on one event loop. */
+public final class StatementProxyNode implements AutoCloseable {
+    /** Time in which a load balancer notices that the proxy is not ready, in milliseconds. */
+    private static final long ROTATION_MILLIS = 2_300;
+
+    /** Share of the grace after which open transactions are aborted at a planned stop. */
+    private static final double TRANSACTION_SHARE = 0.55;
+
+    /** Part of the grace that is kept for the end of the process, in milliseconds. */
+    private static final long END_MILLIS = 400;
+
+    private static final Logger LOG = LoggerFactory.getLogger(StatementProxyNode.class);
+
+    private final StatementProxySettings settings;
+    private final EventLoop loop;
+    private final SessionEngine engine;
+    private final DirectoryClient directory;
+    private final PeerClient peers;
+    private final StatementServer server;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private long tickCount;
+
+    /**
+     * Starts the proxy.
+     *
+     * @param loops an event loop group with one loop
+     * @param registry takes the counters
+     * @throws IOException if an address is taken
+     */
+    public StatementProxyNode(
+            StatementProxySettings settings, EventLoopGroup loops, PrometheusRegistry registry)
+            throws IOException {
+        this.settings = settings;
+        this.loop = loops.next();
+        String host = settings.statementAddress().ip().getHostAddress();
+        engine =
+                new SessionEngine(
+                        new Host(new StatementClient(loops, host)),
+                        settings.failureDomain(),
+                        new DecisionLines(registry, System::nanoTime));
+        directory =
+                new DirectoryClient(
+                        settings.name(),
+                        engine,
+                        new MemberAddresses(settings.peerPort()),
+                        settings.seeds(),
+                        engine::update);
+        peers =
+                new PeerClient(
+                        TransportSettings.forPeers(host),
+                        settings.name(),
+                        loop,
+                        directory,
+                        new TransportMetrics(registry),
+                        new Random());
+        directory.start(peers);
+        server =
+                new StatementServer(
+                        loops, host, settings.statementAddress().port(), engine::accept);
+        long tick = SessionEngine.tickNanos();
+        loop.scheduleAtFixedRate(this::tick, 0, tick, TimeUnit.NANOSECONDS);
+    }
+
+    private void tick() {
+        try {
+            tickCount++;
+            engine.tick();
+            directory.tick();
+        } catch (RuntimeException e) {
+            LOG.error("event=tick_failed outcome=continues", e);
+        }
+    }
+
+    /** Returns whether callers can be served; to be called on the event loop. */
+    public boolean ready() {
+        return engine.ready();
+    }
+
+    /** Takes other seeds, when the settings have changed. */
+    public void reseed(List<String> seeds) {
+        loop.execute(
+                () -> {
+                    LOG.info("event=reload seeds={}", seeds);
+                    directory.reseed(seeds);
+                });
+    }
+
+    /** Returns the state as text lines, for the state dump. */
+    public List<String> dump() {
+        return List.of(
+                "view routes=" + engine.view().routes().version() + " revisions="
+                        + engine.view().routesRevision() + "/" + engine.view().serversRevision(),
+                "sessions=" + engine.sessionCount() + " waiting=" + engine.waitingCount(),
+                "primaries=" + engine.observations());
+    }
+
+    /**
+     * Begins a planned stop: the proxy is no longer ready, serves on while the load balancer
+     * notices, then closes sessions as they become idle.
+     *
+     * @return completes when no session is left or the grace is over
+     */
+    public CompletableFuture<Void> stop() {
+        loop.execute(
+                () -> {
+                    LOG.info("event=stop sessions={}", engine.sessionCount());
+                    engine.stop();
+                    long grace = settings.stopMillis();
+                    long rotation = Math.min(ROTATION_MILLIS, grace / 2);
+                    after(rotation, this::closeIdle);
+                    after((long) (grace * TRANSACTION_SHARE), engine::abortIdleTransactions);
+                    after(grace - END_MILLIS, () -> stopped.complete(null));
+                });
+        return stopped;
+    }
+
+    private void closeIdle() {
+        engine.closeIdleSessions();
+        if (engine.sessionCount() == 0) {
+            stopped.complete(null);
+        } else {
+            after(100, this::closeIdle);
+        }
+    }
+
+    private void after(long millis, Runnable task) {
+        loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        LOG.info("event=stopped sessions={} ticks={}", engine.sessionCount(), tickCount);
+        server.close();
+        peers.close();
+    }
+
+    private final class Host implements SessionHost {
+        private final StatementClient client;
+
+        Host(StatementClient client) {
+            this.client = client;
+        }
+
+        @Override
+        public long now() {
+            return System.nanoTime();
+        }
+
+        @Override
+        public long wallMillis() {
+            return System.currentTimeMillis();
+        }
+
+        @Override
+        public Timer schedule(long deadline, Runnable task) {
+            ScheduledFuture<?> scheduled =
+                    loop.schedule(
+                            () -> guarded(task),
+                            Math.max(0, deadline - System.nanoTime()),
+                            TimeUnit.NANOSECONDS);
+            return () -> scheduled.cancel(false);
+        }
+
+        private void guarded(Runnable task) {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.error("event=task_failed", e);
+            }
+        }
+
+        @Override
+        public ServerLink connect(ServerRecord record, ServerLinkListener listener) {
+            return client.connect(record.address(), listener);
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -0,0 +1,76 @@
+package org.ragwortmoor.directory;
+
+import java.util.List;
+import org.ragwortmoor.settings.Address;
+import org.ragwortmoor.settings.Role;
+import org.ragwortmoor.settings.Setting;
+import org.ragwortmoor.settings.SettingValues;
+import org.ragwortmoor.settings.ValueTypes;
+
+/**
+ * Settings of a statement proxy.
+ *
+ * @param name name of the proxy, unique among the proxies
+ * @param failureDomain failure domain in which it runs
+ * @param statementAddress address for callers of the statement protocol
+ * @param readinessAddress address of the load balancer's probe
+ * @param peerPort port for other processes, the same on all machines
+ * @param seeds control addresses of some directory processes
+ * @param stopMillis time from a planned stop to its forced end, in milliseconds
+ */
+public record StatementProxySettings(
+        String name,
+        String failureDomain,
+        Address statementAddress,
+        Address readinessAddress,
+        int peerPort,
+        List<String> seeds,
+        long stopMillis) {
+    private static final Setting<String> NAME =
+            Setting.required("name", ValueTypes.NAME, "Identifies the proxy in reports.");
+    private static final Setting<Address> STATEMENTS =
+            Setting.required(
+                    "statement-address", ValueTypes.ADDRESS, "Callers send statements here.");
+    private static final Setting<Address> READINESS =
+            Setting.required(
+                    "readiness-address", ValueTypes.ADDRESS, "The load balancer probes here.");
+    private static final Setting<Long> STOP =
+            Setting.of(
+                    "stop-grace",
+                    ValueTypes.number(0, 600),
+                    "s",
+                    "6",
+                    "The platform kills a process that has not ended by then.");
+
+    /** The role of statement proxies. */
+    public static final Role<StatementProxySettings> ROLE =
+            new Role<>(
+                    "statement-proxy",
+                    "Runs a proxy for the statement protocol.",
+                    List.of(
+                            NAME,
+                            DirectorySettings.DOMAIN,
+                            STATEMENTS,
+                            READINESS,
+                            DirectorySettings.PEER_PORT,
+                            DirectorySettings.SEED_ADDRESSES,
+                            STOP),
+                    StatementProxySettings::of,
+                    settings -> List.of());
+
+    /** Copies the seeds. */
+    public StatementProxySettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    private static StatementProxySettings of(SettingValues values) {
+        return new StatementProxySettings(
+                values.value(NAME),
+                values.value(DirectorySettings.DOMAIN),
+                values.value(STATEMENTS),
+                values.value(READINESS),
+                values.number(DirectorySettings.PEER_PORT),
+                values.value(DirectorySettings.SEED_ADDRESSES),
+                values.value(STOP) * 1_000);
+    }
+}
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/transport/HttpCaller.java
@@ -0,0 +1,120 @@
+package org.ragwortmoor.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Sends single HTTP/1.1 requests, each on a connection of its own. */
+public final class HttpCaller {
+    /** Largest accepted body of an answer, in bytes. */
+    private static final int MAX_BODY = 64 << 10;
+
+    private final EventLoopGroup loops;
+    private final long timeoutMillis;
+
+    /** Creates a caller whose requests end after a time in milliseconds. */
+    public HttpCaller(EventLoopGroup loops, long timeoutMillis) {
+        this.loops = loops;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /** Sends a POST with a JSON body; returns the status, or fails if there is no answer. */
+    public CompletableFuture<Integer> post(
+            String address, String path, Map<String, String> headers, String body) {
+        CompletableFuture<Integer> result = new CompletableFuture<>();
+        var target = Channels.parse(address);
+        if (target.isEmpty()) {
+            result.completeExceptionally(new IOException("no IP address and port: " + address));
+            return result;
+        }
+        new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeoutMillis)
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                channel.pipeline()
+                                        .addLast(
+                                                new ReadTimeoutHandler(
+                                                        timeoutMillis, TimeUnit.MILLISECONDS))
+                                        .addLast(new HttpClientCodec())
+                                        .addLast(new HttpObjectAggregator(MAX_BODY))
+                                        .addLast(new Answer(result));
+                            }
+                        })
+                .connect(target.get())
+                .addListener(
+                        (io.netty.channel.ChannelFuture done) -> {
+                            if (done.isSuccess()) {
+                                done.channel().writeAndFlush(request(address, path, headers, body));
+                            } else {
+                                result.completeExceptionally(done.cause());
+                            }
+                        });
+        return result;
+    }
+
+    private static DefaultFullHttpRequest request(
+            String address, String path, Map<String, String> headers, String body) {
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.POST,
+                        path,
+                        Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        request.headers()
+                .set(HttpHeaderNames.HOST, address)
+                .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                .set(HttpHeaderNames.CONNECTION, "close")
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        headers.forEach((name, value) -> request.headers().set(name, value));
+        return request;
+    }
+
+    private static final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final CompletableFuture<Integer> result;
+
+        Answer(CompletableFuture<Integer> result) {
+            this.result = result;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            result.complete(response.status().code());
+            context.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            result.completeExceptionally(new IOException("closed without an answer"));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            result.completeExceptionally(cause);
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -0,0 +1,242 @@
+package org.ragwortmoor.protocol;
+
+import com.google.protobuf.ByteString;
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import org.ragwortmoor.protocol.wire.DirectoryCommandMessage;
+import org.ragwortmoor.protocol.wire.DirectoryMessage;
+import org.ragwortmoor.protocol.wire.DirectorySnapshotMessage;
+import org.ragwortmoor.protocol.wire.GroupLimitsMessage;
+import org.ragwortmoor.protocol.wire.PromotionMessage;
+import org.ragwortmoor.protocol.wire.RouteMessage;
+import org.ragwortmoor.protocol.wire.RouteTableMessage;
+import org.ragwortmoor.protocol.wire.ServerMessage;
+import org.ragwortmoor.state.directory.DirectoryCommand;
+import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.Promotion;
+import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.state.directory.ServerState;
+import org.ragwortmoor.state.routes.GroupLimits;
+import org.ragwortmoor.state.routes.Route;
+import org.ragwortmoor.state.routes.RouteKind;
+import org.ragwortmoor.state.routes.RouteTable;
+
+/** Converts the directory and its commands to protobuf and back. */
+public final class DirectoryCodec {
+    private DirectoryCodec() {}
+
+    /** Returns the bytes of a command. */
+    public static byte[] encode(DirectoryCommand command) {
+        DirectoryCommandMessage.Builder builder = DirectoryCommandMessage.newBuilder();
+        if (command instanceof DirectoryCommand.PutRoutes put) {
+            builder.setPutRoutes(encode(put.table(), true));
+        } else if (command instanceof DirectoryCommand.PutServer put) {
+            builder.setPutServer(encode(put.server()));
+        } else if (command instanceof DirectoryCommand.OrderPromotion order) {
+            builder.setOrderPromotion(
+                    PromotionMessage.newBuilder()
+                            .setGroup(order.group())
+                            .setServer(order.server())
+                            .setHolder(order.holder()));
+        } else if (command instanceof DirectoryCommand.ReadBarrier barrier) {
+            builder.setReadBarrier(barrier.id());
+        }
+        return builder.build().toByteArray();
+    }
+
+    /** Returns the command in these bytes, or an error that names the invalid part. */
+    public static Either<ProtocolError, DirectoryCommand> decodeCommand(byte[] bytes) {
+        return MalformedException.guard(() -> decode(DirectoryCommandMessage.parseFrom(bytes)));
+    }
+
+    private static DirectoryCommand decode(DirectoryCommandMessage message)
+            throws MalformedException {
+        return switch (message.getCommandCase()) {
+            case PUT_ROUTES -> new DirectoryCommand.PutRoutes(decode(message.getPutRoutes()));
+            case PUT_SERVER -> new DirectoryCommand.PutServer(decode(message.getPutServer()));
+            case ORDER_PROMOTION ->
+                    new DirectoryCommand.OrderPromotion(
+                            message.getOrderPromotion().getGroup(),
+                            message.getOrderPromotion().getServer(),
+                            message.getOrderPromotion().getHolder());
+            case READ_BARRIER -> new DirectoryCommand.ReadBarrier(message.getReadBarrier());
+            case COMMAND_NOT_SET -> throw MalformedException.missing("command");
+        };
+    }
+
+    /** Returns the bytes of the whole directory. */
+    public static byte[] encode(DirectoryState state) {
+        DirectorySnapshotMessage.Builder builder =
+                DirectorySnapshotMessage.newBuilder()
+                        .setRoutes(encode(state.routes(), true))
+                        .setRoutesRevision(state.routesRevision())
+                        .setServersRevision(state.serversRevision());
+        state.servers().values().forEach(s -> builder.addServers(encode(s)));
+        for (Promotion promotion : state.promotions().values()) {
+            builder.addPromotions(
+                    PromotionMessage.newBuilder()
+                            .setGroup(promotion.group())
+                            .setServer(promotion.server())
+                            .setHolder(promotion.holder())
+                            .setToken(promotion.token()));
+        }
+        return builder.build().toByteArray();
+    }
+
+    /** Returns the directory in these bytes, or an error that names the invalid part. */
+    public static Either<ProtocolError, DirectoryState> decodeState(byte[] bytes) {
+        return MalformedException.guard(() -> decode(DirectorySnapshotMessage.parseFrom(bytes)));
+    }
+
+    private static DirectoryState decode(DirectorySnapshotMessage message)
+            throws MalformedException {
+        Map<String, ServerRecord> servers = LinkedHashMap.empty();
+        for (ServerMessage server : message.getServersList()) {
+            servers = servers.put(server.getId(), decode(server));
+        }
+        Map<String, Promotion> promotions = LinkedHashMap.empty();
+        for (PromotionMessage p : message.getPromotionsList()) {
+            promotions =
+                    promotions.put(
+                            p.getGroup(),
+                            new Promotion(
+                                    p.getGroup(), p.getServer(), p.getHolder(), p.getToken()));
+        }
+        return new DirectoryState(
+                decode(message.getRoutes()),
+                message.getRoutesRevision(),
+                servers,
+                message.getServersRevision(),
+                promotions);
+    }
+
+    /** Returns the message of a table; proxies need no source. */
+    public static RouteTableMessage encode(RouteTable table, boolean withSource) {
+        RouteTableMessage.Builder builder =
+                RouteTableMessage.newBuilder()
+                        .setVersion(table.version())
+                        .setIdleTransactionMillis(table.idleTransactionMillis());
+        for (Route route : table.routes()) {
+            builder.addRoutes(
+                    RouteMessage.newBuilder()
+                            .setName(route.name())
+                            .setDatabase(route.database())
+                            .setPathPrefix(route.pathPrefix())
+                            .setKind(route.kind().name())
+                            .setGroup(route.group())
+                            .setTimeoutMillis(route.timeoutMillis())
+                            .setTargetMillis(route.targetMillis())
+                            .setPriority(route.priority())
+                            .setMaxStalenessMillis(route.maxStalenessMillis()));
+        }
+        for (GroupLimits group : table.groups()) {
+            builder.addGroups(
+                    GroupLimitsMessage.newBuilder()
+                            .setName(group.name())
+                            .setMaxConnections(group.maxConnections())
+                            .setSyncReplicas(group.syncReplicas()));
+        }
+        return withSource ? builder.setSource(table.source()).build() : builder.build();
+    }
+
+    private static RouteTable decode(RouteTableMessage message) throws MalformedException {
+        List<Route> routes = new ArrayList<>();
+        for (RouteMessage route : message.getRoutesList()) {
+            routes.add(
+                    new Route(
+                            route.getName(),
+                            route.getDatabase(),
+                            route.getPathPrefix(),
+                            named(RouteKind.class, route.getKind(), "route.kind"),
+                            route.getGroup(),
+                            route.getTimeoutMillis(),
+                            route.getTargetMillis(),
+                            route.getPriority(),
+                            route.getMaxStalenessMillis()));
+        }
+        List<GroupLimits> groups =
+                message.getGroupsList().stream()
+                        .map(
+                                g ->
+                                        new GroupLimits(
+                                                g.getName(),
+                                                g.getMaxConnections(),
+                                                g.getSyncReplicas()))
+                        .toList();
+        return new RouteTable(
+                message.getVersion(),
+                routes,
+                groups,
+                message.getIdleTransactionMillis(),
+                message.getSource());
+    }
+
+    /** Returns the message of a server. */
+    public static ServerMessage encode(ServerRecord server) {
+        return ServerMessage.newBuilder()
+                .setId(server.id())
+                .setBornAtMillis(server.bornAtMillis())
+                .setGroup(server.group())
+                .setAddress(server.address())
+                .setZone(server.zone())
+                .setSlots(server.slots())
+                .setState(server.state().name())
+                .setPrimary(server.primary())
+                .setChangedAt(server.changedAt())
+                .build();
+    }
+
+    private static ServerRecord decode(ServerMessage message) throws MalformedException {
+        return new ServerRecord(
+                message.getId(),
+                message.getBornAtMillis(),
+                message.getGroup(),
+                message.getAddress(),
+                message.getZone(),
+                message.getSlots(),
+                named(ServerState.class, message.getState(), "server.state"),
+                message.getPrimary(),
+                message.getChangedAt());
+    }
+
+    private static <T extends Enum<T>> T named(Class<T> type, String name, String field)
+            throws MalformedException {
+        for (T value : type.getEnumConstants()) {
+            if (value.name().equals(name)) {
+                return value;
+            }
+        }
+        throw MalformedException.missing(field);
+    }
+
+    /** Returns the message in these bytes, or an error that names the invalid part. */
+    public static Either<ProtocolError, DirectoryMessage> decodeMessage(ByteString bytes) {
+        return MalformedException.guard(() -> DirectoryMessage.parseFrom(bytes));
+    }
+
+    /** Returns the table of a message, or an error that names the invalid part. */
+    public static Either<ProtocolError, RouteTable> decodeRoutes(RouteTableMessage message) {
+        return MalformedException.guard(() -> decode(message));
+    }
+
+    /** Returns the server of a message, or an error that names the invalid part. */
+    public static Either<ProtocolError, ServerRecord> decodeServer(ServerMessage message) {
+        return MalformedException.guard(() -> decode(message));
+    }
+
+    /** Returns the servers of messages, or an error that names the invalid part. */
+    public static Either<ProtocolError, List<ServerRecord>> decodeServers(
+            List<ServerMessage> messages) {
+        return MalformedException.guard(
+                () -> {
+                    List<ServerRecord> servers = new ArrayList<>();
+                    for (ServerMessage message : messages) {
+                        servers.add(decode(message));
+                    }
+                    return servers;
+                });
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/protocol/PeerBody.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/PeerBody.java
@@ -28,8 +28,11 @@
     /** A message of the consensus protocol, opaque to this layer. */
     record Consensus(ByteString message) implements PeerBody {}
 
+    /** A message about routes, servers and members, opaque to this layer. */
+    record Directory(ByteString message) implements PeerBody {}
+
     /** Returns whether a newer message of the same kind replaces this one. */
     default boolean heartbeat() {
-        return !(this instanceof Consensus);
+        return !(this instanceof Consensus || this instanceof Directory);
     }
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/PeerCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/PeerCodec.java
@@ -39,6 +39,8 @@
                             .setIncarnation(ack.incarnation()));
         } else if (body instanceof PeerBody.Consensus consensus) {
             builder.setConsensus(consensus.message());
+        } else if (body instanceof PeerBody.Directory directory) {
+            builder.setDirectory(directory.message());
         }
         return builder.build();
     }
@@ -56,6 +58,7 @@
                     case ANNOUNCEMENT -> new PeerBody.Announced(decode(message.getAnnouncement()));
                     case ANNOUNCEMENT_ACK -> decode(message.getAnnouncementAck());
                     case CONSENSUS -> new PeerBody.Consensus(message.getConsensus());
+                    case DIRECTORY -> new PeerBody.Directory(message.getDirectory());
                     case BODY_NOT_SET -> throw MalformedException.missing("body");
                 };
         return new PeerEnvelope(notEmpty(message.getSender(), "sender"), body);
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Peer.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Peer.java
@@ -96,62 +96,63 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\npeer.proto\022\020ragwortmoor.peer\032\016endpoint" +
-      ".proto\"\261\002\n\013PeerMessage\022\016\n\006sender\030\001 \001(\t\0226" +
+      ".proto\"\306\002\n\013PeerMessage\022\016\n\006sender\030\001 \001(\t\0226" +
       "\n\006report\030\002 \001(\0132$.ragwortmoor.peer.ProxyR" +
       "eportMessageH\000\0228\n\006update\030\003 \001(\0132&.ragwort" +
       "moor.peer.ControlUpdateMessageH\000\022=\n\014anno" +
       "uncement\030\004 \001(\0132%.ragwortmoor.peer.Announ" +
       "cementMessageH\000\022D\n\020announcement_ack\030\005 \001(" +
       "\0132(.ragwortmoor.peer.AnnouncementAckMess" +
-      "ageH\000\022\023\n\tconsensus\030\006 \001(\014H\000B\006\n\004body\"\264\002\n\022P" +
-      "roxyReportMessage\022\r\n\005proxy\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\003\022\026\n\016failure_domain\030\003 \001(\t\022\020\n" +
-      "\010sequence\030\004 \001(\004\022\025\n\rrules_version\030\005 \001(\004\022\030" +
-      "\n\020prepared_version\030\006 \001(\004\022\020\n\010stopping\030\007 \001" +
-      "(\010\022\017\n\007sent_at\030\010 \001(\022\022?\n\tendpoints\030\t \003(\0132," +
-      ".ragwortmoor.peer.EndpointObservationMes" +
-      "sage\022;\n\014acknowledged\030\n \001(\0132%.ragwortmoor" +
-      ".peer.AcknowledgedMessage\"\\\n\023Acknowledge" +
-      "dMessage\022\023\n\013leader_term\030\001 \001(\004\022\027\n\017groups_" +
-      "revision\030\002 \001(\004\022\027\n\017report_sequence\030\003 \001(\004\"" +
-      "\273\001\n\032EndpointObservationMessage\022\r\n\005group\030" +
-      "\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\025\n\rsilent_millis" +
-      "\030\003 \001(\004\022\023\n\013connections\030\004 \001(\005\022\016\n\006wanted\030\005 " +
-      "\001(\005\022\024\n\014long_running\030\006 \001(\005\022\023\n\013long_wanted" +
-      "\030\007 \001(\005\022\025\n\rpromised_term\030\010 \001(\004\"\332\003\n\024Contro" +
-      "lUpdateMessage\022\r\n\005proxy\030\001 \001(\t\022\023\n\013leader_" +
-      "term\030\002 \001(\004\022\027\n\017report_sequence\030\003 \001(\004\022\026\n\016r" +
-      "eport_sent_at\030\004 \001(\022\022\032\n\022rules_lease_milli" +
-      "s\030\005 \001(\004\022\032\n\022share_lease_millis\030\006 \001(\004\0221\n\005r" +
-      "ules\030\007 \001(\0132\".ragwortmoor.peer.RulesTextM" +
-      "essage\0223\n\007pending\030\010 \001(\0132\".ragwortmoor.pe" +
-      "er.RulesTextMessage\0222\n\006groups\030\t \003(\0132\".ra" +
-      "gwortmoor.peer.GroupViewMessage\022.\n\006share" +
-      "s\030\n \003(\0132\036.ragwortmoor.peer.ShareMessage\022" +
-      "5\n\ntoken_keys\030\013 \003(\0132!.ragwortmoor.peer.T" +
-      "okenKeyMessage\022\027\n\017groups_revision\030\014 \001(\004\022" +
-      "\031\n\021proxy_incarnation\030\r \001(\003\"1\n\020RulesTextM" +
-      "essage\022\017\n\007version\030\001 \001(\004\022\014\n\004text\030\002 \001(\t\"\231\001" +
-      "\n\020GroupViewMessage\022\r\n\005group\030\001 \001(\t\022\014\n\004siz" +
-      "e\030\002 \001(\005\022\014\n\004term\030\003 \001(\004\022\024\n\007primary\030\004 \001(\tH\000" +
-      "\210\001\001\0228\n\tendpoints\030\005 \003(\0132%.ragwortmoor.pee" +
-      "r.EndpointInfoMessageB\n\n\010_primary\"\237\001\n\023En" +
-      "dpointInfoMessage\022\020\n\010endpoint\030\001 \001(\t\022\023\n\013i" +
-      "ncarnation\030\002 \001(\003\022\017\n\007address\030\003 \001(\t\022\026\n\016fai" +
-      "lure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\030\n\020conn" +
-      "ection_limit\030\006 \001(\005\022\017\n\007leaving\030\007 \001(\010\"i\n\014S" +
-      "hareMessage\022\r\n\005group\030\001 \001(\t\022\020\n\010endpoint\030\002" +
-      " \001(\t\022\r\n\005floor\030\003 \001(\005\022\023\n\013connections\030\004 \001(\005" +
-      "\022\024\n\014long_permits\030\005 \001(\005\"4\n\017TokenKeyMessag" +
-      "e\022\n\n\002id\030\001 \001(\005\022\025\n\rsecret_base64\030\002 \001(\t\"\302\001\n" +
-      "\023AnnouncementMessage\022\r\n\005group\030\001 \001(\t\022\014\n\004s" +
-      "ize\030\002 \001(\005\0223\n\004info\030\003 \001(\0132%.ragwortmoor.pe" +
-      "er.EndpointInfoMessage\022;\n\006status\030\004 \001(\0132+" +
-      ".ragwortmoor.endpoint.EndpointStatusMess" +
-      "age\022\034\n\024source_silent_millis\030\005 \001(\003\"N\n\026Ann" +
-      "ouncementAckMessage\022\r\n\005group\030\001 \001(\t\022\020\n\010en" +
-      "dpoint\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003B!\n\035org" +
-      ".ragwortmoor.protocol.wireP\001b\006proto3"
+      "ageH\000\022\023\n\tconsensus\030\006 \001(\014H\000\022\023\n\tdirectory\030" +
+      "\007 \001(\014H\000B\006\n\004body\"\264\002\n\022ProxyReportMessage\022\r" +
+      "\n\005proxy\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\026\n\016fa" +
+      "ilure_domain\030\003 \001(\t\022\020\n\010sequence\030\004 \001(\004\022\025\n\r" +
+      "rules_version\030\005 \001(\004\022\030\n\020prepared_version\030" +
+      "\006 \001(\004\022\020\n\010stopping\030\007 \001(\010\022\017\n\007sent_at\030\010 \001(\022" +
+      "\022?\n\tendpoints\030\t \003(\0132,.ragwortmoor.peer.E" +
+      "ndpointObservationMessage\022;\n\014acknowledge" +
+      "d\030\n \001(\0132%.ragwortmoor.peer.AcknowledgedM" +
+      "essage\"\\\n\023AcknowledgedMessage\022\023\n\013leader_" +
+      "term\030\001 \001(\004\022\027\n\017groups_revision\030\002 \001(\004\022\027\n\017r" +
+      "eport_sequence\030\003 \001(\004\"\273\001\n\032EndpointObserva" +
+      "tionMessage\022\r\n\005group\030\001 \001(\t\022\020\n\010endpoint\030\002" +
+      " \001(\t\022\025\n\rsilent_millis\030\003 \001(\004\022\023\n\013connectio" +
+      "ns\030\004 \001(\005\022\016\n\006wanted\030\005 \001(\005\022\024\n\014long_running" +
+      "\030\006 \001(\005\022\023\n\013long_wanted\030\007 \001(\005\022\025\n\rpromised_" +
+      "term\030\010 \001(\004\"\332\003\n\024ControlUpdateMessage\022\r\n\005p" +
+      "roxy\030\001 \001(\t\022\023\n\013leader_term\030\002 \001(\004\022\027\n\017repor" +
+      "t_sequence\030\003 \001(\004\022\026\n\016report_sent_at\030\004 \001(\022" +
+      "\022\032\n\022rules_lease_millis\030\005 \001(\004\022\032\n\022share_le" +
+      "ase_millis\030\006 \001(\004\0221\n\005rules\030\007 \001(\0132\".ragwor" +
+      "tmoor.peer.RulesTextMessage\0223\n\007pending\030\010" +
+      " \001(\0132\".ragwortmoor.peer.RulesTextMessage" +
+      "\0222\n\006groups\030\t \003(\0132\".ragwortmoor.peer.Grou" +
+      "pViewMessage\022.\n\006shares\030\n \003(\0132\036.ragwortmo" +
+      "or.peer.ShareMessage\0225\n\ntoken_keys\030\013 \003(\013" +
+      "2!.ragwortmoor.peer.TokenKeyMessage\022\027\n\017g" +
+      "roups_revision\030\014 \001(\004\022\031\n\021proxy_incarnatio" +
+      "n\030\r \001(\003\"1\n\020RulesTextMessage\022\017\n\007version\030\001" +
+      " \001(\004\022\014\n\004text\030\002 \001(\t\"\231\001\n\020GroupViewMessage\022" +
+      "\r\n\005group\030\001 \001(\t\022\014\n\004size\030\002 \001(\005\022\014\n\004term\030\003 \001" +
+      "(\004\022\024\n\007primary\030\004 \001(\tH\000\210\001\001\0228\n\tendpoints\030\005 " +
+      "\003(\0132%.ragwortmoor.peer.EndpointInfoMessa" +
+      "geB\n\n\010_primary\"\237\001\n\023EndpointInfoMessage\022\020" +
+      "\n\010endpoint\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\017\n" +
+      "\007address\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r" +
+      "\n\005slots\030\005 \001(\005\022\030\n\020connection_limit\030\006 \001(\005\022" +
+      "\017\n\007leaving\030\007 \001(\010\"i\n\014ShareMessage\022\r\n\005grou" +
+      "p\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\r\n\005floor\030\003 \001(\005" +
+      "\022\023\n\013connections\030\004 \001(\005\022\024\n\014long_permits\030\005 " +
+      "\001(\005\"4\n\017TokenKeyMessage\022\n\n\002id\030\001 \001(\005\022\025\n\rse" +
+      "cret_base64\030\002 \001(\t\"\302\001\n\023AnnouncementMessag" +
+      "e\022\r\n\005group\030\001 \001(\t\022\014\n\004size\030\002 \001(\005\0223\n\004info\030\003" +
+      " \001(\0132%.ragwortmoor.peer.EndpointInfoMess" +
+      "age\022;\n\006status\030\004 \001(\0132+.ragwortmoor.endpoi" +
+      "nt.EndpointStatusMessage\022\034\n\024source_silen" +
+      "t_millis\030\005 \001(\003\"N\n\026AnnouncementAckMessage" +
+      "\022\r\n\005group\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\023\n\013inc" +
+      "arnation\030\003 \001(\003B!\n\035org.ragwortmoor.protoc" +
+      "ol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -163,7 +164,7 @@
     internal_static_ragwortmoor_peer_PeerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_peer_PeerMessage_descriptor,
-        new java.lang.String[] { "Sender", "Report", "Update", "Announcement", "AnnouncementAck", "Consensus", "Body", });
+        new java.lang.String[] { "Sender", "Report", "Update", "Announcement", "AnnouncementAck", "Consensus", "Directory", "Body", });
     internal_static_ragwortmoor_peer_ProxyReportMessage_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ragwortmoor_peer_ProxyReportMessage_fieldAccessorTable = new
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/PeerMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/PeerMessage.java
@@ -59,6 +59,7 @@
     ANNOUNCEMENT(4),
     ANNOUNCEMENT_ACK(5),
     CONSENSUS(6),
+    DIRECTORY(7),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -81,6 +82,7 @@
         case 4: return ANNOUNCEMENT;
         case 5: return ANNOUNCEMENT_ACK;
         case 6: return CONSENSUS;
+        case 7: return DIRECTORY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -288,6 +290,35 @@
     return com.google.protobuf.ByteString.EMPTY;
   }
 
+  public static final int DIRECTORY_FIELD_NUMBER = 7;
+  /**
+   * <pre>
+   * A message of the directory, which has its own definition.
+   * </pre>
+   *
+   * <code>bytes directory = 7;</code>
+   * @return Whether the directory field is set.
+   */
+  @java.lang.Override
+  public boolean hasDirectory() {
+    return bodyCase_ == 7;
+  }
+  /**
+   * <pre>
+   * A message of the directory, which has its own definition.
+   * </pre>
+   *
+   * <code>bytes directory = 7;</code>
+   * @return The directory.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDirectory() {
+    if (bodyCase_ == 7) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -321,6 +352,10 @@
       output.writeBytes(
           6, (com.google.protobuf.ByteString) body_);
     }
+    if (bodyCase_ == 7) {
+      output.writeBytes(
+          7, (com.google.protobuf.ByteString) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -354,6 +389,11 @@
         .computeBytesSize(
             6, (com.google.protobuf.ByteString) body_);
     }
+    if (bodyCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            7, (com.google.protobuf.ByteString) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -393,6 +433,10 @@
         if (!getConsensus()
             .equals(other.getConsensus())) return false;
         break;
+      case 7:
+        if (!getDirectory()
+            .equals(other.getDirectory())) return false;
+        break;
       case 0:
       default:
     }
@@ -430,6 +474,10 @@
         hash = (37 * hash) + CONSENSUS_FIELD_NUMBER;
         hash = (53 * hash) + getConsensus().hashCode();
         break;
+      case 7:
+        hash = (37 * hash) + DIRECTORY_FIELD_NUMBER;
+        hash = (53 * hash) + getDirectory().hashCode();
+        break;
       case 0:
       default:
     }
@@ -681,6 +729,10 @@
           setConsensus(other.getConsensus());
           break;
         }
+        case DIRECTORY: {
+          setDirectory(other.getDirectory());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -749,6 +801,11 @@
               bodyCase_ = 6;
               break;
             } // case 50
+            case 58: {
+              body_ = input.readBytes();
+              bodyCase_ = 7;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1479,6 +1536,64 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * A message of the directory, which has its own definition.
+     * </pre>
+     *
+     * <code>bytes directory = 7;</code>
+     * @return Whether the directory field is set.
+     */
+    public boolean hasDirectory() {
+      return bodyCase_ == 7;
+    }
+    /**
+     * <pre>
+     * A message of the directory, which has its own definition.
+     * </pre>
+     *
+     * <code>bytes directory = 7;</code>
+     * @return The directory.
+     */
+    public com.google.protobuf.ByteString getDirectory() {
+      if (bodyCase_ == 7) {
+        return (com.google.protobuf.ByteString) body_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <pre>
+     * A message of the directory, which has its own definition.
+     * </pre>
+     *
+     * <code>bytes directory = 7;</code>
+     * @param value The directory to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDirectory(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      bodyCase_ = 7;
+      body_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * A message of the directory, which has its own definition.
+     * </pre>
+     *
+     * <code>bytes directory = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDirectory() {
+      if (bodyCase_ == 7) {
+        bodyCase_ = 0;
+        body_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.peer.PeerMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/PeerMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/PeerMessageOrBuilder.java
@@ -101,5 +101,24 @@
    */
   com.google.protobuf.ByteString getConsensus();
 
+  /**
+   * <pre>
+   * A message of the directory, which has its own definition.
+   * </pre>
+   *
+   * <code>bytes directory = 7;</code>
+   * @return Whether the directory field is set.
+   */
+  boolean hasDirectory();
+  /**
+   * <pre>
+   * A message of the directory, which has its own definition.
+   * </pre>
+   *
+   * <code>bytes directory = 7;</code>
+   * @return The directory.
+   */
+  com.google.protobuf.ByteString getDirectory();
+
   org.ragwortmoor.protocol.wire.PeerMessage.BodyCase getBodyCase();
 }
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -0,0 +1,115 @@
+package org.ragwortmoor.state.directory;
+
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.control.Option;
+import java.util.List;
+import org.ragwortmoor.state.routes.RouteTable;
+
+/**
+ * The replicated directory; immutable.
+ *
+ * @param routes the table in force
+ * @param routesRevision log index of the newest change of the routes
+ * @param servers servers by id
+ * @param serversRevision log index of the newest change of a server or promotion
+ * @param promotions newest promotion of each group
+ */
+public record DirectoryState(
+        RouteTable routes,
+        long routesRevision,
+        Map<String, ServerRecord> servers,
+        long serversRevision,
+        Map<String, Promotion> promotions) {
+    /** The directory before the first command. */
+    public static final DirectoryState EMPTY =
+            new DirectoryState(
+                    RouteTable.EMPTY, 0, LinkedHashMap.empty(), 0, LinkedHashMap.empty());
+
+    /** Servers that have ended and are still remembered, so that late announcements are known. */
+    private static final int MAX_GONE = 500;
+
+    /** Returns the directory after a command in the log entry {@code index}. */
+    public DirectoryState apply(DirectoryCommand command, long index) {
+        if (command instanceof DirectoryCommand.PutRoutes put) {
+            return put.table().version() > routes.version()
+                    ? new DirectoryState(put.table(), index, servers, serversRevision, promotions)
+                    : this;
+        }
+        if (command instanceof DirectoryCommand.PutServer put) {
+            return putServer(put.server(), index);
+        }
+        if (command instanceof DirectoryCommand.OrderPromotion order) {
+            Promotion promotion =
+                    new Promotion(order.group(), order.server(), order.holder(), index);
+            return new DirectoryState(
+                    routes,
+                    routesRevision,
+                    servers,
+                    index,
+                    promotions.put(order.group(), promotion));
+        }
+        return this;
+    }
+
+    private DirectoryState putServer(ServerRecord server, long index) {
+        ServerRecord known = servers.get(server.id()).getOrNull();
+        if (known != null && !ServerSuccession.replaces(server, known)) {
+            return this;
+        }
+        Map<String, ServerRecord> changed =
+                servers.filterValues(s -> !s.id().equals(server.id()))
+                        .mapValues(s -> ServerSuccession.displaced(s, server, index))
+                        .put(server.id(), server.changedAt(index));
+        long gone = changed.values().count(s -> s.state() == ServerState.GONE);
+        if (gone > MAX_GONE) {
+            Option<ServerRecord> oldest =
+                    changed.values()
+                            .filter(s -> s.state() == ServerState.GONE)
+                            .minBy((a, b) -> Long.compare(a.changedAt(), b.changedAt()));
+            for (ServerRecord record : oldest) {
+                changed = changed.remove(record.id());
+            }
+        }
+        // A server that starts again under its id holds nothing, so it does not lead any more.
+        boolean reborn = known != null && known.bornAtMillis() != server.bornAtMillis();
+        Map<String, Promotion> kept =
+                promotions.filterValues(p -> !(reborn && p.server().equals(server.id())));
+        return new DirectoryState(routes, routesRevision, changed, index, kept);
+    }
+
+    /** Returns the servers of a group that have not ended. */
+    public List<ServerRecord> members(String group) {
+        return servers.values()
+                .filter(s -> s.group().equals(group) && s.state() != ServerState.GONE)
+                .toJavaList();
+    }
+
+    /** Returns whether an announcement would change the directory. */
+    public boolean isNews(ServerRecord server) {
+        return servers.get(server.id())
+                .forAll(known -> ServerSuccession.replaces(server, known));
+    }
+
+    /**
+     * Returns the primary of a group. Only ordered promotions change it, so the server of the newest
+     * order outranks announcements, which may be late; without an order it is the server that
+     * announced itself as the primary.
+     */
+    public Option<ServerRecord> primary(String group) {
+        for (Promotion ordered : promotions.get(group)) {
+            for (ServerRecord server : servers.get(ordered.server())) {
+                if (server.state() != ServerState.GONE) {
+                    return Option.some(server);
+                }
+            }
+        }
+        ServerRecord newest = null;
+        for (ServerRecord server : members(group)) {
+            if (server.primary() && (newest == null || server.changedAt() > newest.changedAt())) {
+                newest = server;
+            }
+        }
+        return Option.of(newest);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/directory/package-info.java
@@ -0,0 +1,2 @@
+/** The replicated directory: routes in force, known servers and ordered promotions. */
+package org.ragwortmoor.state.directory;
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/routes/RouteTable.java
@@ -0,0 +1,43 @@
+package org.ragwortmoor.state.routes;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A complete configuration of routes.
+ *
+ * @param version version that the operator chose; the highest one is in force
+ * @param routes all routes
+ * @param groups all groups that routes may name
+ * @param idleTransactionMillis time after which an idle transaction may be ended, in milliseconds
+ * @param source the operator's text, returned unchanged to readers
+ */
+public record RouteTable(
+        long version,
+        List<Route> routes,
+        List<GroupLimits> groups,
+        int idleTransactionMillis,
+        String source) {
+    /** The table before the first configuration. */
+    public static final RouteTable EMPTY = new RouteTable(0, List.of(), List.of(), 0, "");
+
+    /** Copies the lists. */
+    public RouteTable {
+        routes = List.copyOf(routes);
+        groups = List.copyOf(groups);
+    }
+
+    /** Returns the routes by database name. */
+    public Map<String, Route> byDatabase() {
+        Map<String, Route> found = new HashMap<>();
+        routes.forEach(route -> found.putIfAbsent(route.database(), route));
+        return found;
+    }
+
+    /** Returns the limits of a group, if the table has it. */
+    public Option<GroupLimits> group(String name) {
+        return Option.ofOptional(groups.stream().filter(g -> g.name().equals(name)).findFirst());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/routes/UniqueRoutes.java
@@ -0,0 +1,29 @@
+package org.ragwortmoor.state.routes;
+
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Refuses two routes with the same database and path prefix.
+ *
+ * <p>Which of them a session gets would depend on their order.
+ */
+final class UniqueRoutes implements RouteTableCheck {
+    @Override
+    public Option<String> problem(RouteTable table) {
+        Map<String, String> seen = new HashMap<>();
+        for (Route route : table.routes()) {
+            String other = seen.put(route.database() + '\n' + route.pathPrefix(), route.name());
+            if (other != null) {
+                return Option.some(
+                        "routes '"
+                                + other
+                                + "' and '"
+                                + route.name()
+                                + "' have the same database and prefix; remove one of them");
+            }
+        }
+        return Option.none();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/statement/StatementMessage.java
@@ -0,0 +1,26 @@
+package org.ragwortmoor.state.statement;
+
+import java.util.List;
+
+/**
+ * A message of the statement protocol.
+ *
+ * @param kind the kind
+ * @param fields text fields; only the last one may contain blanks
+ */
+public record StatementMessage(MessageKind kind, List<String> fields) {
+    /** Copies the fields. */
+    public StatementMessage {
+        fields = List.copyOf(fields);
+    }
+
+    /** Returns a message with these fields. */
+    public static StatementMessage of(MessageKind kind, String... fields) {
+        return new StatementMessage(kind, List.of(fields));
+    }
+
+    /** Returns the field at {@code index}, or an empty text if the message has fewer. */
+    public String field(int index) {
+        return index < fields.size() ? fields.get(index) : "";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/statement/package-info.java
@@ -0,0 +1,2 @@
+/** Messages of the statement protocol as plain values. */
+package org.ragwortmoor.state.statement;
