Keep reads away from servers whose connections do not open

Ruled out: too few connections; the other replicas had idle ones.

Change: a server whose last connection failed, or whose opening takes over 100 ms without a word from it, takes reads only on connections that are open. The session engine has tests in virtual time on fake servers; readsAvoidAReplicaThatCannotBeReached failed before.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
@@ -201,7 +201,9 @@
                 .toOption();
     }
 
-    /** Proxies that share a server while their number is not known; the usual installation has 7. */
+    /**
+     * Proxies that share a server while their number is not known; the usual installation has 7.
+     */
     private static final int DEFAULT_PROXIES = 10;
 
     private String describe() {
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -112,8 +112,7 @@
         Listener listener = new Listener();
         String self = settings.controlAddress().toString();
         peers = new PeerClient(transport, self, loop, listener, metrics, new Random());
-        server =
-                new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
+        server = new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
         loop.execute(this::open);
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -195,8 +194,7 @@
         }
         Option<MemberId> leader = log.log().leader();
         boolean other = leader.exists(id -> !id.equals(log.log().node().self()));
-        return other
-                && peers.send(addresses.of(leader.get().node()), ProxyRegistry.body(message));
+        return other && peers.send(addresses.of(leader.get().node()), ProxyRegistry.body(message));
     }
 
     private void tick() {
@@ -285,9 +283,7 @@
     private List<String> memberAddresses() {
         return log == null
                 ? List.of()
-                : log.log().node().configuration().members().stream()
-                        .map(Member::address)
-                        .toList();
+                : log.log().node().configuration().members().stream().map(Member::address).toList();
     }
 
     private void perform(FailoverAction action) {
@@ -330,8 +326,7 @@
                                     call.token(),
                                     known,
                                     String.valueOf(error));
-                            failover.answered(
-                                    call.group(), call.token(), known, System.nanoTime());
+                            failover.answered(call.group(), call.token(), known, System.nanoTime());
                         },
                         loop);
     }
--- a/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -86,8 +86,7 @@
             new Role<>(
                     "directory",
                     "Runs a directory process: routes, servers, promotions.",
-                    List.of(
-                            DOMAIN, CONTROL, PEER_PORT, SEED_ADDRESSES, BOOTSTRAP, DATA, PROMOTION),
+                    List.of(DOMAIN, CONTROL, PEER_PORT, SEED_ADDRESSES, BOOTSTRAP, DATA, PROMOTION),
                     DirectorySettings::of,
                     settings -> List.of());
 
--- a/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
@@ -34,10 +34,7 @@
     private boolean ended;
 
     private ServerSurvey(
-            ServerRecord server,
-            String firstStatement,
-            boolean suspend,
-            Consumer<Position> found) {
+            ServerRecord server, String firstStatement, boolean suspend, Consumer<Position> found) {
         this.server = server;
         this.firstStatement = firstStatement;
         this.suspend = suspend;
@@ -107,8 +104,7 @@
         }
         // Without a free slot there is no status, but the applied position is a lower bound.
         Option<Position> known =
-                received.orElse(
-                        suspend ? Option.none() : PositionField.parse(message.field(1)));
+                received.orElse(suspend ? Option.none() : PositionField.parse(message.field(1)));
         LOG.info("event=surveyed server={} position={}", server.id(), known.getOrNull());
         known.forEach(found);
         end();
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -110,8 +110,12 @@
     /** Returns the state as text lines, for the state dump. */
     public List<String> dump() {
         return List.of(
-                "view routes=" + engine.view().routes().version() + " revisions="
-                        + engine.view().routesRevision() + "/" + engine.view().serversRevision(),
+                "view routes="
+                        + engine.view().routes().version()
+                        + " revisions="
+                        + engine.view().routesRevision()
+                        + "/"
+                        + engine.view().serversRevision(),
                 "sessions=" + engine.sessionCount() + " waiting=" + engine.waitingCount(),
                 "primaries=" + engine.observations());
     }
--- a/app/src/main/java/org/ragwortmoor/transport/HttpPort.java
+++ b/app/src/main/java/org/ragwortmoor/transport/HttpPort.java
@@ -64,8 +64,7 @@
      * @param maxBodyBytes largest accepted body; a larger one gets 413
      * @throws IOException if the address is taken
      */
-    public HttpPort(
-            EventLoopGroup loops, String host, int port, int maxBodyBytes, Handler handler)
+    public HttpPort(EventLoopGroup loops, String host, int port, int maxBodyBytes, Handler handler)
             throws IOException {
         var bound =
                 new ServerBootstrap()
@@ -128,9 +127,7 @@
             ByteBuf body = Unpooled.copiedBuffer(sent.body(), StandardCharsets.UTF_8);
             FullHttpResponse response =
                     new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1,
-                            HttpResponseStatus.valueOf(sent.status()),
-                            body);
+                            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(sent.status()), body);
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             if (!sent.contentType().isEmpty()) {
                 response.headers().set(HttpHeaderNames.CONTENT_TYPE, sent.contentType());
--- a/app/src/main/java/org/ragwortmoor/transport/StatementClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/StatementClient.java
@@ -32,8 +32,7 @@
     }
 
     /** Starts to open a connection. */
-    public SessionHost.ServerLink connect(
-            String address, SessionHost.ServerLinkListener listener) {
+    public SessionHost.ServerLink connect(String address, SessionHost.ServerLinkListener listener) {
         Link link = new Link(listener);
         var target = Channels.parse(address);
         if (target.isEmpty()) {
--- a/app/src/main/java/org/ragwortmoor/transport/StatementLines.java
+++ b/app/src/main/java/org/ragwortmoor/transport/StatementLines.java
@@ -24,16 +24,14 @@
     static void write(Channel channel, List<StatementMessage> messages) {
         StringBuilder lines = new StringBuilder();
         messages.forEach(message -> lines.append(StatementCodec.encode(message)));
-        ByteBuf bytes = ByteBufUtil.encodeString(
-                channel.alloc(),
-                java.nio.CharBuffer.wrap(lines),
-                StandardCharsets.UTF_8);
+        ByteBuf bytes =
+                ByteBufUtil.encodeString(
+                        channel.alloc(), java.nio.CharBuffer.wrap(lines), StandardCharsets.UTF_8);
         channel.writeAndFlush(bytes).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     }
 
     /** Writes what was sent so far and closes the channel. */
     static void closeAfterWrites(Channel channel) {
-        channel.writeAndFlush(channel.alloc().buffer(0))
-                .addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ReadPlacement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ReadPlacement.java
@@ -36,7 +36,9 @@
                             && !request.excluded().contains(server.record().id())
                             && !server.silent();
             boolean free = server.idleCount() > 0;
-            if (!fits || !(free || server.opening() > 0 || server.mayOpen(connectionLimit))) {
+            // A server that did not take the last connection may not take the next one either.
+            boolean opens = server.opening() > 0 || server.mayOpen(connectionLimit);
+            if (!fits || !(free || (opens && !server.refusing() && !server.slowToOpen()))) {
                 continue;
             }
             double cost = cost(server, server == primary) + (free ? 0 : OPENING_MILLIS);
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -23,6 +23,7 @@
     private final Deque<ServerConnection> idle = new ArrayDeque<>();
     private ServerRecord record;
     private int opening;
+    private long openedAt;
     private long heardAt;
     private long retryAt;
     private long drainingSince;
@@ -83,6 +84,12 @@
         return false;
     }
 
+    /** Returns whether connections are being opened for longer than a working server takes. */
+    boolean slowToOpen() {
+        long now = host.now();
+        return opening > 0 && now - openedAt > SessionSettings.SLOW_OPEN && openedAt - heardAt >= 0;
+    }
+
     /** Returns whether connections cannot be opened at present. */
     boolean backingOff() {
         return host.now() - retryAt < 0;
@@ -145,6 +152,9 @@
     }
 
     void open() {
+        if (opening == 0) {
+            openedAt = host.now();
+        }
         opening++;
         connections.add(
                 new ServerConnection(host, this, host.now() + SessionSettings.OPEN_TIMEOUT));
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -7,6 +7,9 @@
     /** Longest time until a new connection takes statements; opening takes about 12 ms. */
     static final long OPEN_TIMEOUT = TimeUnit.MILLISECONDS.toNanos(700);
 
+    /** Time after which an unfinished opening makes a server less likely to be there. */
+    static final long SLOW_OPEN = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** Pause after a failed connection attempt; short against a restart, long against a refusal. */
     static final long OPEN_BACKOFF = TimeUnit.MILLISECONDS.toNanos(150);
 
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -87,14 +87,13 @@
 
     /** Returns whether an announcement would change the directory. */
     public boolean isNews(ServerRecord server) {
-        return servers.get(server.id())
-                .forAll(known -> ServerSuccession.replaces(server, known));
+        return servers.get(server.id()).forAll(known -> ServerSuccession.replaces(server, known));
     }
 
     /**
-     * Returns the primary of a group. Only ordered promotions change it, so the server of the newest
-     * order outranks announcements, which may be late; without an order it is the server that
-     * announced itself as the primary.
+     * Returns the primary of a group. Only ordered promotions change it, so the server of the
+     * newest order outranks announcements, which may be late; without an order it is the server
+     * that announced itself as the primary.
      */
     public Option<ServerRecord> primary(String group) {
         for (Promotion ordered : promotions.get(group)) {
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/Caller.java
@@ -0,0 +1,67 @@
+package org.ragwortmoor.coordination.session;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.ragwortmoor.state.statement.MessageKind;
+import org.ragwortmoor.state.statement.StatementMessage;
+
+/** A caller with a session on the engine. */
+final class Caller implements SessionHost.CallerLink {
+    private final List<StatementMessage> received = new ArrayList<>();
+    private final VirtualHost host;
+    private final CallerSession session;
+    private boolean closed;
+    private int ids;
+
+    Caller(VirtualHost host, SessionEngine engine, String database) {
+        this.host = host;
+        session = engine.accept(this);
+        session.received(StatementMessage.of(MessageKind.CONNECT, database, "caller"));
+    }
+
+    CallerSession session() {
+        return session;
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    /** Sends a statement without waiting and returns its id. */
+    String send(String text) {
+        received.clear();
+        String id = "q" + ++ids + System.identityHashCode(this);
+        session.received(StatementMessage.of(MessageKind.QUERY, id, text));
+        return id;
+    }
+
+    /** Sends a statement, lets time pass, and returns the answer. */
+    String ask(String text, long millis) {
+        send(text);
+        host.run(millis);
+        return answer();
+    }
+
+    /** Sends a statement and returns the answer within the usual time. */
+    String ask(String text) {
+        return ask(text, 100);
+    }
+
+    /** Returns what was received since the last statement, joined. */
+    String answer() {
+        return received.stream()
+                .map(m -> m.kind() + " " + String.join(" ", m.fields()))
+                .collect(Collectors.joining("; "));
+    }
+
+    @Override
+    public void send(List<StatementMessage> messages) {
+        received.addAll(messages);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
@@ -0,0 +1,133 @@
+package org.ragwortmoor.coordination.session;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** What callers are told when servers fail, and what is sent again. */
+class SessionFaultTest {
+    private final Deployment deployment = new Deployment();
+
+    @Test
+    void lostAnswerOfAReadIsAskedForElsewhere() {
+        deployment.s2.lose(1);
+        Caller caller = deployment.caller("bounded");
+        assertThat(caller.ask("READ x", 200)).contains("COMPLETE signed-");
+    }
+
+    @Test
+    void lostAnswerOfAWriteIsInDoubtAndNeverSentAgain() {
+        deployment.s1.lose(1);
+        Caller caller = deployment.caller("own");
+        assertThat(caller.ask("WRITE x 1", 1_100)).startsWith("ERROR INDOUBT");
+        assertThat(deployment.s1.ran()).hasSize(1);
+    }
+
+    @Test
+    void lostAnswerOfACommitIsInDoubt() {
+        Caller caller = deployment.caller("own");
+        caller.ask("BEGIN");
+        caller.ask("WRITE x 1");
+        deployment.s1.lose(1);
+        assertThat(caller.ask("COMMIT", 1_100)).startsWith("ERROR INDOUBT").endsWith("READY I -");
+    }
+
+    @Test
+    void crashInsideATransactionAbortsIt() {
+        Caller caller = deployment.caller("own");
+        caller.ask("BEGIN");
+        caller.ask("WRITE x 1");
+        deployment.s1.crash();
+        assertThat(caller.ask("WRITE x 2")).startsWith("ERROR ABORTED").endsWith("READY E -");
+        assertThat(caller.ask("COMMIT")).startsWith("ERROR ABORTED").endsWith("READY I -");
+    }
+
+    @Test
+    void busyServerGetsTheWriteAgain() {
+        deployment.s1.busy(2);
+        Caller caller = deployment.caller("own");
+        assertThat(caller.ask("WRITE x 1")).contains("signed-s1");
+        assertThat(deployment.s1.ran()).hasSize(1);
+    }
+
+    @Test
+    void laggingReplicasLeaveTheReadToTheLeader() {
+        Caller caller = deployment.caller("bounded");
+        deployment.s2.at(1, 5);
+        deployment.s3.at(1, 5);
+        assertThat(caller.ask("READ x")).contains("signed-s1");
+    }
+
+    @Test
+    void deposedLeaderNeverAnswersAPrimaryRead() {
+        Caller caller = deployment.caller("strong");
+        deployment.s1.lead(false);
+        deployment.s3.lead(true).at(2, 1);
+        assertThat(caller.ask("READ x", 800)).contains("signed-s3");
+        assertThat(deployment.s1.ran()).isEmpty();
+    }
+
+    @Test
+    void writesWaitForTheNextPrimary() {
+        Caller caller = deployment.caller("own");
+        deployment.s1.crash();
+        caller.send("WRITE x 1");
+        deployment.host.run(300);
+        deployment.s3.lead(true).at(2, 1);
+        deployment.put(Deployment.routes(1), "s3");
+        deployment.host.run(300);
+        assertThat(caller.answer()).contains("signed-s3");
+    }
+
+    @Test
+    void withoutAPrimaryAWriteIsRefusedWithAHintBeforeItsTimeout() {
+        Caller caller = deployment.caller("own");
+        deployment.s1.crash();
+        assertThat(caller.ask("WRITE x 1", 990))
+                .startsWith("ERROR OVERLOAD retry-after-ms=")
+                .endsWith("READY I -");
+    }
+
+    @Test
+    void readsAvoidAReplicaThatCannotBeReached() {
+        deployment.s2.goDark(true);
+        deployment.s1.work(60);
+        deployment.s3.work(60);
+        Caller warmUp = deployment.caller("bounded");
+        warmUp.ask("READ x", 1_500);
+        deployment.host.run(3_000);
+        for (int i = 0; i < 20; i++) {
+            Caller caller = deployment.caller("bounded");
+            assertThat(caller.ask("READ x", 200)).contains("COMPLETE signed-");
+            deployment.host.run(137);
+        }
+    }
+
+    @Test
+    void afterASuspensionNothingThatWasKnownIsFresh() {
+        Caller caller = deployment.caller("bounded");
+        deployment.s1.at(1, 20);
+        deployment.host.suspend(5_000);
+        caller.send("READ x");
+        deployment.host.run(60);
+        assertThat(caller.answer()).contains("signed-s1");
+    }
+
+    @Test
+    void silenceOfThePrimaryIsReported() {
+        deployment.s1.goDark(true);
+        deployment.host.run(1_200);
+        SessionEngine.PrimaryObservation seen = deployment.engine.observations().get(0);
+        assertThat(seen.server()).isEqualTo("s1");
+        assertThat(seen.silentNanos()).isGreaterThan(500_000_000L);
+    }
+
+    @Test
+    void aHealthyPrimaryIsNeverReportedSilent() {
+        for (int i = 0; i < 100; i++) {
+            deployment.host.run(37);
+            assertThat(deployment.engine.observations().get(0).silentNanos())
+                    .isLessThan(100_000_000L);
+        }
+    }
+}
