Hand a leaving primary over without losing its last commits

A connection attempt that a full server refused counted as evidence against the primary.

Change: the primary is told to step down, and the promotion waits up to 0.7 s for a replica with its last position; a primary that is replaced as lost is told as well. An error in answer to a greeting shows that the server is there. Tests of failover and membership decisions in virtual time.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -294,6 +294,12 @@
                     record,
                     survey.suspend(),
                     position -> failover.surveyed(record.group(), record.id(), position));
+        } else if (action instanceof FailoverAction.StepDown step) {
+            ServerRecord record = step.server();
+            ServerSurvey.stepDown(
+                    statements,
+                    record,
+                    position -> failover.steppedDown(record.group(), record.id(), position));
         } else if (action instanceof FailoverAction.Order order) {
             LOG.info(
                     "event=promotion_ordered group={} server={} reason=\"{}\"",
--- a/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
@@ -14,13 +14,16 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Asks a replica for the position that it has received, on a connection of its own. A replica that
+ * Asks a server for the position that it has received, on a connection of its own. A replica that
  * is to be suspended is asked again afterwards, since it may have received more in between.
  */
 final class ServerSurvey implements SessionHost.ServerLinkListener {
     /** Index of the received position in the row of a status answer. */
     private static final int RECEIVED_FIELD = 2;
 
+    /** Ends the leadership of a primary whose term is lower than the one that follows. */
+    private static final String STEP_DOWN = "STEPDOWN ";
+
     private static final Logger LOG = LoggerFactory.getLogger(ServerSurvey.class);
 
     private final ServerRecord server;
@@ -51,6 +54,12 @@
         survey.link = client.connect(server.address(), survey);
     }
 
+    /** Ends the leadership of a primary; {@code found} gets its last position. */
+    static void stepDown(StatementClient client, ServerRecord server, Consumer<Position> found) {
+        ServerSurvey survey = new ServerSurvey(server, STEP_DOWN, false, found);
+        survey.link = client.connect(server.address(), survey);
+    }
+
     /** Lets a suspended replica receive again. */
     static void resume(StatementClient client, ServerRecord server) {
         ServerSurvey survey = new ServerSurvey(server, "RESUME", false, position -> {});
@@ -94,7 +103,9 @@
     private void ready(StatementMessage message) {
         if (!greeted) {
             greeted = true;
-            ask(firstStatement);
+            long nextTerm =
+                    PositionField.parse(message.field(1)).map(Position::term).getOrElse(0L) + 1;
+            ask(firstStatement.equals(STEP_DOWN) ? STEP_DOWN + nextTerm : firstStatement);
             return;
         }
         if (suspend && !suspended && received.isDefined()) {
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
@@ -7,6 +7,9 @@
     /** Asks a replica for its log position; {@code suspend} stops it from receiving more. */
     record Survey(ServerRecord server, boolean suspend) implements FailoverAction {}
 
+    /** Asks a primary to stop leading, and for its last log position. */
+    record StepDown(ServerRecord server) implements FailoverAction {}
+
     /** Proposes the order of a promotion to the replicated log. */
     record Order(String group, String server, String reason) implements FailoverAction {}
 
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
@@ -33,6 +33,11 @@
         group(group).surveyed(server, position);
     }
 
+    /** Notes the last log position of a primary that has stopped leading. */
+    public void steppedDown(String group, String server, Position position) {
+        group(group).steppedDown(server, position);
+    }
+
     /** Notes a committed order of this process. */
     public List<FailoverAction> ordered(String group, String server, long token, long now) {
         return group(group).ordered(server, token, now);
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
@@ -22,6 +22,12 @@
     /** Longest time to wait for the positions of the replicas. */
     static final long SURVEY = TimeUnit.MILLISECONDS.toNanos(350);
 
+    /** Longest time in which a leaving primary's last commits may reach a replica. */
+    static final long HAND_OVER = TimeUnit.MILLISECONDS.toNanos(700);
+
+    /** Pause between two surveys of a hand-over; replicas receive within a few round trips. */
+    static final long RESURVEY = TimeUnit.MILLISECONDS.toNanos(40);
+
     /** Time after which a call without an answer is repeated with the same token. */
     static final long CALL_RETRY = TimeUnit.MILLISECONDS.toNanos(1_000);
 
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.coordination.directory;
 
 import io.vavr.control.Option;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,9 @@
     private long token;
     private int calls;
     private boolean suspended;
+    private boolean planned;
+    private long surveyAgainAt;
+    private Option<Position> lastCommit = Option.none();
     private Option<Long> primarylessSince = Option.none();
 
     GroupFailover(String group) {
@@ -91,17 +95,35 @@
             return List.of();
         }
         replaced = primary.map(ServerRecord::id).getOrElse("");
+        planned = primary.exists(p -> p.state() == ServerState.DRAINING);
+        lastCommit = Option.none();
         positions.clear();
         surveyed.clear();
         phase = Phase.SURVEYING;
-        phaseUntil = now + FailoverSettings.SURVEY;
+        phaseUntil = now + (planned ? FailoverSettings.HAND_OVER : FailoverSettings.SURVEY);
         suspended = syncReplicas > 0;
         replicas.forEach(r -> surveyed.add(r.id()));
+        List<FailoverAction> actions = new ArrayList<>();
+        // A primary that some can still reach must not acknowledge what the next one lacks.
+        primary.forEach(p -> actions.add(new FailoverAction.StepDown(p)));
+        actions.addAll(surveys(replicas, now));
+        return actions;
+    }
+
+    private List<FailoverAction> surveys(List<ServerRecord> replicas, long now) {
+        surveyAgainAt = now + FailoverSettings.RESURVEY;
         return replicas.stream()
                 .map(r -> (FailoverAction) new FailoverAction.Survey(r, suspended))
                 .toList();
     }
 
+    /** Notes the last position of the primary that is being replaced. */
+    void steppedDown(String server, Position position) {
+        if (phase == Phase.SURVEYING && server.equals(replaced)) {
+            lastCommit = Option.some(position);
+        }
+    }
+
     private String reasonToPromote(DirectoryState state, Option<ServerRecord> primary, long now) {
         if (primary.isEmpty()) {
             return withoutPrimary(state, now) ? "the group has no primary" : "";
@@ -141,7 +163,17 @@
 
     private List<FailoverAction> survey(DirectoryState state, int syncReplicas, long now) {
         boolean complete = positions.size() == surveyed.size();
-        if (!complete && now - phaseUntil < 0) {
+        boolean late = now - phaseUntil >= 0;
+        if (planned && !late && !handedOver()) {
+            return complete && now - surveyAgainAt >= 0
+                    ? surveys(
+                            state.members(group).stream()
+                                    .filter(s -> surveyed.contains(s.id()))
+                                    .toList(),
+                            now)
+                    : List.of();
+        }
+        if (!planned && !complete && !late) {
             return List.of();
         }
         // A commit was acknowledged by one replica at least, so every replica must be heard.
@@ -164,7 +196,19 @@
         phaseUntil = now + FailoverSettings.CALL_RETRY;
         return List.of(
                 new FailoverAction.Order(
-                        group, candidate, reason + "; replica positions " + positions));
+                        group,
+                        candidate,
+                        reason
+                                + "; last position "
+                                + lastCommit.getOrNull()
+                                + "; replica positions "
+                                + positions));
+    }
+
+    /** Returns whether a replica has received everything that the leaving primary committed. */
+    private boolean handedOver() {
+        return lastCommit.exists(
+                last -> positions.values().stream().anyMatch(p -> p.compareTo(last) >= 0));
     }
 
     private List<FailoverAction> resume(DirectoryState state) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ReadPlacement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ReadPlacement.java
@@ -10,7 +10,10 @@
  * the room for writes, so both are taken only when the others are busier.
  */
 final class ReadPlacement {
-    /** Cost of another failure domain, in milliseconds; a local server is left when a read would wait there for several others. */
+    /**
+     * Cost of another failure domain, in milliseconds; a local server is left when a read would
+     * wait there for several others.
+     */
     private static final double OTHER_ZONE_MILLIS = 45;
 
     /** Cost of the primary, in milliseconds. */
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -202,8 +202,11 @@
         idle.remove(connection);
         if (!wasReady) {
             opening--;
-            refusedAt = host.now();
-            everRefused = true;
+            // A server that answers a greeting with an error is there.
+            if (heardAt - openedAt < 0) {
+                refusedAt = host.now();
+                everRefused = true;
+            }
             retryAt = host.now() + SessionSettings.OPEN_BACKOFF;
             group.log().connectionFailed(record.group(), record.id(), reason);
         } else {
--- /dev/null
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -0,0 +1,189 @@
+package org.ragwortmoor.coordination.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.ragwortmoor.state.Position;
+import org.ragwortmoor.state.directory.DirectoryCommand;
+import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.state.directory.ServerState;
+import org.ragwortmoor.state.routes.GroupLimits;
+import org.ragwortmoor.state.routes.RouteTable;
+
+/** When a promotion is ordered, of whom, and with which token. */
+class FailoverCoordinatorTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final int PROXIES = 7;
+
+    private final FailoverCoordinator failover = new FailoverCoordinator();
+    private DirectoryState state = DirectoryState.EMPTY;
+    private long index;
+    private long now = 1_000 * MILLI;
+
+    private void setUp(int syncReplicas) {
+        apply(
+                new DirectoryCommand.PutRoutes(
+                        new RouteTable(
+                                1,
+                                List.of(),
+                                List.of(new GroupLimits("g", 30, syncReplicas)),
+                                0,
+                                "")));
+        server("s1", ServerState.READY, true);
+        server("s2", ServerState.READY, false);
+        server("s3", ServerState.READY, false);
+        failover.restart(now);
+    }
+
+    private void server(String id, ServerState serverState, boolean primary) {
+        apply(
+                new DirectoryCommand.PutServer(
+                        new ServerRecord(
+                                id, 1, "g", "10.0.0.1:" + id, "a", 5, serverState, primary, 0)));
+    }
+
+    private void apply(DirectoryCommand command) {
+        state = state.apply(command, ++index);
+    }
+
+    private void report(int lost, long silentMillis, boolean refused) {
+        for (int i = 0; i < PROXIES; i++) {
+            boolean silent = i < lost;
+            failover.observed(
+                    "p" + i, "g", "s1", silent ? silentMillis * MILLI : 0, silent && refused, now);
+        }
+    }
+
+    private List<FailoverAction> tick(long millis) {
+        now += millis * MILLI;
+        return failover.tick(state, now);
+    }
+
+    private static <T> List<T> only(List<FailoverAction> actions, Class<T> type) {
+        List<T> found = new ArrayList<>();
+        actions.stream().filter(type::isInstance).forEach(a -> found.add(type.cast(a)));
+        return found;
+    }
+
+    private FailoverAction.Order orderAfterSurvey() {
+        List<FailoverAction.Order> orders = only(tick(20), FailoverAction.Order.class);
+        assertThat(orders).hasSize(1);
+        return orders.get(0);
+    }
+
+    @Test
+    void theReplicaThatReceivedMostTakesOverAfterAMajorityLostThePrimary() {
+        setUp(0);
+        report(4, 650, false);
+        assertThat(only(tick(1), FailoverAction.Survey.class)).hasSize(2);
+        failover.surveyed("g", "s2", new Position(1, 90));
+        failover.surveyed("g", "s3", new Position(1, 95));
+        assertThat(orderAfterSurvey().server()).isEqualTo("s3");
+    }
+
+    @Test
+    void aMinorityProvesNothing() {
+        setUp(0);
+        report(3, 5_000, true);
+        for (int i = 0; i < 50; i++) {
+            assertThat(tick(20)).isEmpty();
+        }
+    }
+
+    @Test
+    void ordinaryPausesBetweenProofsProveNothing() {
+        setUp(0);
+        for (int i = 0; i < 50; i++) {
+            report(PROXIES, 150, false);
+            assertThat(tick(500)).isEmpty();
+        }
+    }
+
+    @Test
+    void oldReportsDoNotCount() {
+        setUp(0);
+        report(PROXIES, 5_000, true);
+        now += 2_000 * MILLI;
+        assertThat(failover.tick(state, now)).isEmpty();
+    }
+
+    @Test
+    void aReplicaWithoutAnAnswerIsNotWaitedForLonger() {
+        setUp(0);
+        report(PROXIES, 650, false);
+        tick(1);
+        failover.surveyed("g", "s2", new Position(1, 90));
+        assertThat(tick(100)).isEmpty();
+        assertThat(only(tick(300), FailoverAction.Order.class).get(0).server()).isEqualTo("s2");
+    }
+
+    @Test
+    void withSynchronousReplicasEveryReplicaMustBeHeardAndStopped() {
+        setUp(1);
+        report(PROXIES, 650, false);
+        List<FailoverAction.Survey> surveys = only(tick(1), FailoverAction.Survey.class);
+        assertThat(surveys).allMatch(FailoverAction.Survey::suspend);
+        failover.surveyed("g", "s2", new Position(1, 90));
+        List<FailoverAction> after = tick(400);
+        assertThat(only(after, FailoverAction.Order.class)).isEmpty();
+        assertThat(only(after, FailoverAction.Resume.class)).hasSize(2);
+    }
+
+    @Test
+    void aLeavingPrimaryStepsDownAndAReplicaWithItsLastCommitFollows() {
+        setUp(0);
+        server("s1", ServerState.DRAINING, true);
+        List<FailoverAction> begun = tick(1);
+        assertThat(only(begun, FailoverAction.StepDown.class)).hasSize(1);
+        failover.surveyed("g", "s2", new Position(1, 99));
+        failover.surveyed("g", "s3", new Position(1, 98));
+        failover.steppedDown("g", "s1", new Position(1, 100));
+        List<FailoverAction> again = tick(50);
+        assertThat(only(again, FailoverAction.Order.class)).isEmpty();
+        assertThat(only(again, FailoverAction.Survey.class)).hasSize(2);
+        failover.surveyed("g", "s3", new Position(1, 100));
+        assertThat(orderAfterSurvey().server()).isEqualTo("s3");
+    }
+
+    @Test
+    void aCallWithoutAnAnswerIsRepeatedWithTheSameToken() {
+        setUp(0);
+        List<FailoverAction> first = failover.ordered("g", "s2", 42, now);
+        assertThat(first).containsExactly(new FailoverAction.Call("g", "s2", 42));
+        failover.answered("g", 42, CallOutcome.UNKNOWN, now);
+        assertThat(tick(300)).containsExactly(new FailoverAction.Call("g", "s2", 42));
+    }
+
+    @Test
+    void aRejectedServerIsNotChosenAgainAndTheNextOrderHasAHigherToken() {
+        setUp(0);
+        failover.ordered("g", "s2", 42, now);
+        failover.answered("g", 42, CallOutcome.REJECTED, now);
+        now += 300 * MILLI;
+        report(PROXIES, 650, false);
+        List<FailoverAction.Survey> surveys = only(tick(1), FailoverAction.Survey.class);
+        assertThat(surveys).extracting(s -> s.server().id()).containsExactly("s3");
+    }
+
+    @Test
+    void nothingIsOrderedWhileAPromotionSettles() {
+        setUp(0);
+        failover.ordered("g", "s2", 42, now);
+        failover.answered("g", 42, CallOutcome.ACCEPTED, now);
+        report(PROXIES, 5_000, true);
+        assertThat(tick(600)).isEmpty();
+    }
+
+    @Test
+    void aGroupWithoutAPrimaryWaitsForLateAnnouncements() {
+        setUp(0);
+        server("s1", ServerState.GONE, false);
+        assertThat(tick(100)).isEmpty();
+        assertThat(tick(2_000)).isEmpty();
+        assertThat(only(tick(1_500), FailoverAction.Survey.class)).hasSize(2);
+    }
+}
