Open connections beyond the share while a server has room

Cause: three or four connections of each proxy to a primary were all pinned by open transactions while the server had free ones.

Change: a proxy opens up to twice its share, stops for 0.5 s when the server says it is full, and closes what it has not used for 1.5 s.

Tried and reverted: beginning a transaction at the server before its first statement.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
@@ -159,7 +159,7 @@
     private void ask(Server server, Runnable done) {
         Option<ServerConnection> taken = server.take(Map.of());
         if (taken.isEmpty()) {
-            if (server.opening() == 0 && server.mayOpen(group.connectionLimit() + 1)) {
+            if (server.opening() == 0 && server.mayOpen(group.share())) {
                 server.open();
             }
             done.run();
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ReadPlacement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ReadPlacement.java
@@ -30,7 +30,10 @@
 
     /** Returns the cheapest server with a connection that is free or can be opened, or null. */
     Server choose(
-            Collection<Server> servers, LeaseRequest request, Server primary, int connectionLimit) {
+            Collection<Server> servers,
+            LeaseRequest request,
+            Server primary,
+            ConnectionShare share) {
         Server best = null;
         double bestCost = Double.MAX_VALUE;
         for (Server server : servers) {
@@ -40,7 +43,7 @@
                             && !server.silent();
             boolean free = server.idleCount() > 0;
             // A server that did not take the last connection may not take the next one either.
-            boolean opens = server.opening() > 0 || server.mayOpen(connectionLimit);
+            boolean opens = server.opening() > 0 || server.mayOpen(share);
             if (!fits || !(free || (opens && !server.refusing() && !server.slowToOpen()))) {
                 continue;
             }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -29,6 +29,7 @@
     private long drainingSince;
     private long laggingUntil;
     private long refusedAt;
+    private long overloadedAt;
     private boolean everRefused;
     private double latencyMillis = 10;
 
@@ -40,6 +41,7 @@
         this.retryAt = host.now();
         this.laggingUntil = host.now();
         this.drainingSince = host.now();
+        this.overloadedAt = host.now() - SessionSettings.OVERLOAD_MEMORY;
     }
 
     ServerRecord record() {
@@ -147,8 +149,25 @@
         return connections.size();
     }
 
-    boolean mayOpen(int limit) {
-        return connections.size() < limit && !backingOff();
+    /**
+     * Returns whether another connection may be opened. Beyond the proxy's share the other proxies'
+     * connections may leave no room, so a refusal ends that for a while.
+     */
+    boolean mayOpen(ConnectionShare share) {
+        if (backingOff()) {
+            return false;
+        }
+        boolean overloaded = host.now() - overloadedAt < SessionSettings.OVERLOAD_MEMORY;
+        return connections.size() < (overloaded ? share.own() : share.most());
+    }
+
+    /** Closes a connection beyond the proxy's share that has not been used for a while. */
+    void trim(ConnectionShare share) {
+        ServerConnection oldest = idle.peekLast();
+        boolean surplus = oldest != null && connections.size() > share.own();
+        if (surplus && host.now() - oldest.idleSince() > SessionSettings.SURPLUS_IDLE) {
+            oldest.close("not used any more");
+        }
     }
 
     void open() {
@@ -187,13 +206,15 @@
             connection.close("the server leaves");
             return;
         }
+        connection.becameIdle(host.now());
         idle.addFirst(connection);
         group.dispatch();
     }
 
     void opened(ServerConnection connection) {
         opening--;
-        idle.add(connection);
+        connection.becameIdle(host.now());
+        idle.addFirst(connection);
         group.dispatch();
     }
 
@@ -203,7 +224,9 @@
         if (!wasReady) {
             opening--;
             // A server that answers a greeting with an error is there.
-            if (heardAt - openedAt < 0) {
+            if (heardAt - openedAt >= 0) {
+                overloadedAt = host.now();
+            } else {
                 refusedAt = host.now();
                 everRefused = true;
             }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerConnection.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerConnection.java
@@ -31,6 +31,7 @@
     private final Map<String, String> values = new LinkedHashMap<>();
     private final Set<String> prepared = new HashSet<>();
     private final SessionHost.Timer openTimer;
+    private long idleSince;
     private boolean ready;
     private boolean closed;
     private boolean valuesKnown = true;
@@ -64,6 +65,15 @@
         return ready && !closed;
     }
 
+    /** Returns the time since which nobody has used the connection. */
+    long idleSince() {
+        return idleSince;
+    }
+
+    void becameIdle(long now) {
+        idleSince = now;
+    }
+
     /** Session values that are set on the connection. */
     Map<String, String> values() {
         return values;
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -20,7 +20,7 @@
     private final FreshnessWindow freshness = new FreshnessWindow();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<LeaseRequest> waiting = new ArrayList<>();
-    private int connectionLimit = 1;
+    private ConnectionShare share = new ConnectionShare(1, 1);
     private boolean dispatching;
     private boolean dispatchAgain;
 
@@ -48,8 +48,8 @@
         return servers;
     }
 
-    int connectionLimit() {
-        return connectionLimit;
+    ConnectionShare share() {
+        return share;
     }
 
     int waitingCount() {
@@ -57,8 +57,8 @@
     }
 
     /** Takes the servers of the newest directory. */
-    void update(List<ServerRecord> records, int limit) {
-        connectionLimit = limit;
+    void update(List<ServerRecord> records, ConnectionShare connections) {
+        share = connections;
         Map<String, ServerRecord> known = new HashMap<>();
         records.forEach(record -> known.put(record.id(), record));
         for (Server server : List.copyOf(servers.values())) {
@@ -98,9 +98,10 @@
             int free = server.idleCount() + server.opening();
             if (server.takesReads()
                     && free < SessionSettings.WARM_CONNECTIONS
-                    && server.mayOpen(connectionLimit)) {
+                    && server.mayOpen(share)) {
                 server.open();
             }
+            server.trim(share);
         }
         leader.tick();
         long now = host.now();
@@ -178,7 +179,7 @@
                 continue;
             }
             int openings = claimed.merge(server, 1, Integer::sum);
-            if (openings > server.opening() && server.mayOpen(connectionLimit)) {
+            if (openings > server.opening() && server.mayOpen(share)) {
                 server.open();
             }
         }
@@ -190,7 +191,7 @@
             boolean usable = current != null && current.takesLeaderWork() && !leader.denied();
             return usable ? current : null;
         }
-        return placement.choose(servers.values(), request, current, connectionLimit);
+        return placement.choose(servers.values(), request, current, share);
     }
 
     /** Returns whether waiting can help a read. */
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -94,8 +94,8 @@
             }
             List<ServerRecord> servers =
                     view.servers().stream().filter(s -> s.group().equals(group.name())).toList();
-            int shared = limits.get().maxConnections() - SessionSettings.RESERVED_CONNECTIONS;
-            group.update(servers, Math.max(1, shared / Math.max(1, view.proxies())));
+            group.update(
+                    servers, ConnectionShare.of(limits.get().maxConnections(), view.proxies()));
         }
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -61,6 +61,15 @@
     /** Connections that control and other callers may need on each server. */
     static final int RESERVED_CONNECTIONS = 3;
 
+    /** Connections beyond the own share, as a multiple of it; proxies rarely peak together. */
+    static final int BURST_FACTOR = 2;
+
+    /** Time for which a full server is not asked for connections beyond the share. */
+    static final long OVERLOAD_MEMORY = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Time after which an unused connection beyond the share is closed. */
+    static final long SURPLUS_IDLE = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     /** Connections that are kept open to each server before they are needed. */
     static final int WARM_CONNECTIONS = 1;
 
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
@@ -146,4 +146,24 @@
         deployment.engine.directoryAnswers(false);
         assertThat(deployment.engine.ready()).isTrue();
     }
+
+    @Test
+    void connectionsBeyondTheShareAreOpenedWhileThereIsRoomAndClosedLater() {
+        deployment.s1.maxConnections(6);
+        Caller[] callers = new Caller[9];
+        for (int i = 0; i < callers.length; i++) {
+            callers[i] = deployment.caller("own");
+            callers[i].ask("BEGIN", 1);
+            callers[i].ask("WRITE x 1", 20);
+        }
+        deployment.host.run(100);
+        // The share is four of each proxy; the server takes six.
+        assertThat(deployment.s1.openSessions()).isBetween(5, 6);
+        for (Caller caller : callers) {
+            caller.ask("ROLLBACK", 1);
+        }
+        deployment.host.run(6_000);
+        assertThat(deployment.s1.openSessions()).isLessThanOrEqualTo(4);
+        assertThat(deployment.engine.observations().get(0).refused()).isFalse();
+    }
 }
