Serve metrics and state of the new processes; split two large classes

Change: the setting metrics-address; membership and promotions have runners of their own; answers to callers are built in one class. No decision changed.

--- a/app/src/main/java/org/ragwortmoor/daemon/MetricsText.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/MetricsText.java
@@ -8,10 +8,11 @@
 import java.nio.charset.StandardCharsets;
 
 /** Writes a registry in the Prometheus text format. */
-final class MetricsText {
+public final class MetricsText {
     private MetricsText() {}
 
-    static String of(PrometheusRegistry registry) {
+    /** Returns the text. */
+    public static String of(PrometheusRegistry registry) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create().write(bytes, registry.scrape());
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -8,20 +8,15 @@
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ragwortmoor.coordination.consensus.ConsensusAction;
 import org.ragwortmoor.coordination.consensus.ConsensusEvent;
-import org.ragwortmoor.coordination.directory.CallOutcome;
 import org.ragwortmoor.coordination.directory.FailoverAction;
-import org.ragwortmoor.coordination.directory.FailoverCoordinator;
-import org.ragwortmoor.coordination.directory.MembershipKeeper;
 import org.ragwortmoor.protocol.ConsensusCodec;
 import org.ragwortmoor.protocol.DirectoryCodec;
 import org.ragwortmoor.protocol.PeerBody;
@@ -30,10 +25,8 @@
 import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
 import org.ragwortmoor.protocol.wire.JoinMessage;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
-import org.ragwortmoor.protocol.wire.PrimaryObservationMessage;
 import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
-import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.log.Member;
 import org.ragwortmoor.state.log.MemberId;
@@ -57,9 +50,6 @@
     /** Short against the heartbeat of 100 ms. */
     private static final long TICK_MILLIS = 20;
 
-    /** Interval of requests to join, in nanoseconds. */
-    private static final long JOIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
     /** Pause before a data folder that failed is opened again, in milliseconds. */
     private static final long REOPEN_MILLIS = 500;
 
@@ -71,18 +61,14 @@
     private final DirectorySettings settings;
     private final MemberAddresses addresses;
     private final EventLoop loop;
-    private final PromotionCaller promotions;
     private final PeerClient peers;
     private final PeerServer server;
-    private final StatementClient statements;
     private final DirectoryRequests requests;
     private final ProxyRegistry proxies = new ProxyRegistry();
-    private final MembershipKeeper keeper = new MembershipKeeper();
-    private final FailoverCoordinator failover = new FailoverCoordinator();
-    private List<String> seeds;
+    private final PromotionRunner failover;
+    private final MembershipRunner membership;
     private DirectoryLog log;
     private boolean ready;
-    private long joinedAt;
     private boolean closed;
 
     /**
@@ -101,17 +87,17 @@
         this.settings = settings;
         this.addresses = new MemberAddresses(settings.peerPort());
         this.loop = loops.next();
-        this.promotions = promotions;
-        this.seeds = settings.seeds();
-        this.joinedAt = System.nanoTime();
         String host = settings.controlAddress().ip().getHostAddress();
         TransportSettings transport = TransportSettings.forPeers(host);
         TransportMetrics metrics = new TransportMetrics(registry);
-        statements = new StatementClient(loops, host);
         requests = new DirectoryRequests(this);
         Listener listener = new Listener();
         String self = settings.controlAddress().toString();
         peers = new PeerClient(transport, self, loop, listener, metrics, new Random());
+        membership = new MembershipRunner(settings, addresses, peers);
+        failover =
+                new PromotionRunner(
+                        self, new StatementClient(loops, host), promotions, loop, this::order);
         server = new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
         loop.execute(this::open);
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -144,7 +130,7 @@
         loop.execute(
                 () -> {
                     LOG.info("event=reload seeds={}", changed);
-                    seeds = List.copyOf(changed);
+                    membership.reseed(changed);
                 });
     }
 
@@ -211,10 +197,10 @@
             log.handle(new ConsensusEvent.Tick());
             checkReady();
             if (ready) {
-                keeper.next(log.log().status(now)).forEach(log::change);
-                failover.tick(state(), now).forEach(this::perform);
+                membership.next(log.log().status(now)).forEach(log::change);
+                failover.tick(state(), now);
             } else {
-                askToJoin(now);
+                membership.askToJoin(log.log(), now);
             }
         } catch (RuntimeException e) {
             LOG.error("event=tick_failed outcome=process_ends", e);
@@ -239,102 +225,23 @@
         LOG.info("event={} term={}", leads ? "leading" : "not_leading", log.log().node().term());
         if (leads) {
             long now = System.nanoTime();
-            keeper.restart();
+            membership.restart();
             failover.restart(now);
             proxies.elected(now);
         }
     }
 
-    /** A process outside of the configuration hears from no leader and cannot become one. */
-    private void askToJoin(long now) {
-        boolean blank = log.log().node().lastPosition().index() == 0;
-        MemberId self = log.log().node().self();
-        boolean member = log.log().node().configuration().member(self).isDefined();
-        boolean led = log.log().leader().isDefined();
-        boolean wanting = (!member || !led) && !(blank && settings.bootstrap() && isSeed());
-        if (!wanting || now - joinedAt < JOIN_NANOS) {
-            return;
-        }
-        joinedAt = now;
-        DirectoryMessage join =
-                DirectoryMessage.newBuilder()
-                        .setJoin(
-                                JoinMessage.newBuilder()
-                                        .setNode(self.node())
-                                        .setIncarnation(self.incarnation())
-                                        .setAddress(addresses.of(self.node())))
-                        .build();
-        for (String address : knownPeers()) {
-            peers.send(address, ProxyRegistry.body(join));
-        }
-    }
-
-    private boolean isSeed() {
-        return settings.seeds().contains(settings.controlAddress().toString());
-    }
-
-    private Set<String> knownPeers() {
-        Set<String> known = new LinkedHashSet<>(memberAddresses());
-        seeds.forEach(seed -> known.add(addresses.of(seed)));
-        known.remove(addresses.of(settings.controlAddress().toString()));
-        return known;
-    }
-
     private List<String> memberAddresses() {
         return log == null
                 ? List.of()
                 : log.log().node().configuration().members().stream().map(Member::address).toList();
     }
 
-    private void perform(FailoverAction action) {
-        if (action instanceof FailoverAction.Survey survey) {
-            ServerRecord record = survey.server();
-            ServerSurvey.start(
-                    statements,
-                    record,
-                    survey.suspend(),
-                    position -> failover.surveyed(record.group(), record.id(), position));
-        } else if (action instanceof FailoverAction.StepDown step) {
-            ServerRecord record = step.server();
-            ServerSurvey.stepDown(
-                    statements,
-                    record,
-                    position -> failover.steppedDown(record.group(), record.id(), position));
-        } else if (action instanceof FailoverAction.Order order) {
-            LOG.info(
-                    "event=promotion_ordered group={} server={} reason=\"{}\"",
-                    order.group(),
-                    order.server(),
-                    order.reason());
-            String self = settings.controlAddress().toString();
-            log.propose(
-                    new DirectoryCommand.OrderPromotion(order.group(), order.server(), self),
-                    done -> {});
-        } else if (action instanceof FailoverAction.Call call) {
-            call(call);
-        } else if (action instanceof FailoverAction.Resume resume) {
-            ServerSurvey.resume(statements, resume.server());
-        }
-    }
-
-    private void call(FailoverAction.Call call) {
+    private void order(FailoverAction.Order order) {
         String self = settings.controlAddress().toString();
-        promotions
-                .promote(new Promotion(call.group(), call.server(), self, call.token()))
-                .whenCompleteAsync(
-                        (outcome, error) -> {
-                            CallOutcome known = error == null ? outcome : CallOutcome.UNKNOWN;
-                            LOG.info(
-                                    "event=promotion_called group={} server={} token={} outcome={}"
-                                            + " error={}",
-                                    call.group(),
-                                    call.server(),
-                                    call.token(),
-                                    known,
-                                    String.valueOf(error));
-                            failover.answered(call.group(), call.token(), known, System.nanoTime());
-                        },
-                        loop);
+        log.propose(
+                new DirectoryCommand.OrderPromotion(order.group(), order.server(), self),
+                done -> {});
     }
 
     private void push() {
@@ -368,8 +275,7 @@
             if (command instanceof DirectoryCommand.OrderPromotion order
                     && ready
                     && order.holder().equals(self)) {
-                failover.ordered(order.group(), order.server(), index, System.nanoTime())
-                        .forEach(DirectoryNode.this::perform);
+                failover.ordered(order.group(), order.server(), index);
             }
             push();
         }
@@ -409,10 +315,7 @@
         private void join(DirectoryMessage message) {
             JoinMessage join = message.getJoin();
             if (ready) {
-                keeper.asked(
-                        new MemberId(join.getNode(), join.getIncarnation()),
-                        join.getAddress(),
-                        System.nanoTime());
+                membership.asked(join, System.nanoTime());
             } else if (!join.getNode().equals(settings.controlAddress().toString())) {
                 sendToLeader(message);
             }
@@ -431,15 +334,7 @@
                 return;
             }
             proxies.reported(report, reply, now);
-            for (PrimaryObservationMessage seen : report.getPrimariesList()) {
-                failover.observed(
-                        report.getProxy(),
-                        seen.getGroup(),
-                        seen.getServer(),
-                        TimeUnit.MILLISECONDS.toNanos(seen.getSilentMillis()),
-                        seen.getRefused(),
-                        now);
-            }
+            failover.observed(report, now);
             proxies.answer(report.getProxy(), state(), memberAddresses(), now);
         }
     }
--- a/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -22,6 +22,7 @@
  * @param bootstrap whether the whole system starts for the first time
  * @param dataFolder folder of the durable state
  * @param promotionAddress address of the interface that promotes servers; empty if there is none
+ * @param metricsAddress address of metrics and state; empty if they are not served
  */
 public record DirectorySettings(
         String failureDomain,
@@ -30,7 +31,8 @@
         List<String> seeds,
         boolean bootstrap,
         Path dataFolder,
-        String promotionAddress) {
+        String promotionAddress,
+        String metricsAddress) {
     /** Addresses separated by commas, or nothing. */
     static final ValueType<List<String>> SEEDS =
             new ValueType<>("IP:PORT,..., or nothing", DirectorySettings::addresses);
@@ -81,12 +83,29 @@
                     "",
                     "Promotions of servers are ordered here; without it none are.");
 
+    /** Address of metrics and state. */
+    static final Setting<String> METRICS =
+            Setting.of(
+                    "metrics-address",
+                    TEXT,
+                    "",
+                    "",
+                    "Metrics and the state dump are read here; without it nowhere.");
+
     /** The role of directory processes. */
     public static final Role<DirectorySettings> ROLE =
             new Role<>(
                     "directory",
                     "Runs a directory process: routes, servers, promotions.",
-                    List.of(DOMAIN, CONTROL, PEER_PORT, SEED_ADDRESSES, BOOTSTRAP, DATA, PROMOTION),
+                    List.of(
+                            DOMAIN,
+                            CONTROL,
+                            PEER_PORT,
+                            SEED_ADDRESSES,
+                            BOOTSTRAP,
+                            DATA,
+                            PROMOTION,
+                            METRICS),
                     DirectorySettings::of,
                     settings -> List.of());
 
@@ -103,7 +122,8 @@
                 values.value(SEED_ADDRESSES),
                 values.value(BOOTSTRAP),
                 values.value(DATA),
-                values.value(PROMOTION));
+                values.value(PROMOTION),
+                values.value(METRICS));
     }
 
     private static Either<String, List<String>> addresses(String text) {
--- /dev/null
+++ b/app/src/main/java/org/ragwortmoor/directory/ObservationPort.java
@@ -0,0 +1,66 @@
+package org.ragwortmoor.directory;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.ragwortmoor.daemon.MetricsText;
+import org.ragwortmoor.settings.Address;
+import org.ragwortmoor.transport.HttpPort;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Serves a process's metrics and state dump to operators. */
+public final class ObservationPort {
+    private static final int MAX_REQUEST = 4 << 10;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    private static final Logger LOG = LoggerFactory.getLogger(ObservationPort.class);
+
+    private ObservationPort() {}
+
+    /**
+     * Starts to listen. A process whose metrics cannot be served goes on without them.
+     *
+     * @param address IP number and port; empty for none
+     * @param state lines of the state dump; called on the event loop
+     */
+    public static void start(
+            EventLoopGroup loops,
+            String address,
+            PrometheusRegistry registry,
+            Supplier<List<String>> state) {
+        if (address.isEmpty()) {
+            return;
+        }
+        Either<String, Address> parsed = Address.parse(address);
+        if (parsed.isLeft()) {
+            LOG.warn("event=metrics_unavailable reason=\"{}\"", parsed.getLeft());
+            return;
+        }
+        Address target = parsed.get();
+        try {
+            new HttpPort(
+                    loops,
+                    target.ip().getHostAddress(),
+                    target.port(),
+                    MAX_REQUEST,
+                    request -> CompletableFuture.completedFuture(reply(request, registry, state)));
+        } catch (IOException e) {
+            LOG.warn("event=metrics_unavailable reason=\"{}\"", e.getMessage());
+        }
+    }
+
+    private static HttpPort.Reply reply(
+            HttpPort.Request request, PrometheusRegistry registry, Supplier<List<String>> state) {
+        return switch (request.method() + " " + request.path()) {
+            case "GET /metrics" -> HttpPort.Reply.text(OK, MetricsText.of(registry));
+            case "GET /state" -> HttpPort.Reply.text(OK, String.join("\n", state.get()) + "\n");
+            default -> HttpPort.Reply.of(NOT_FOUND);
+        };
+    }
+}
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -17,6 +17,7 @@
  * @param peerPort port for other processes, the same on all machines
  * @param seeds control addresses of some directory processes
  * @param stopMillis time from a planned stop to its forced end, in milliseconds
+ * @param metricsAddress address of metrics and state; empty if they are not served
  */
 public record StatementProxySettings(
         String name,
@@ -25,7 +26,8 @@
         Address readinessAddress,
         int peerPort,
         List<String> seeds,
-        long stopMillis) {
+        long stopMillis,
+        String metricsAddress) {
     private static final Setting<String> NAME =
             Setting.required("name", ValueTypes.NAME, "Identifies the proxy in reports.");
     private static final Setting<Address> STATEMENTS =
@@ -54,7 +56,8 @@
                             READINESS,
                             DirectorySettings.PEER_PORT,
                             DirectorySettings.SEED_ADDRESSES,
-                            STOP),
+                            STOP,
+                            DirectorySettings.METRICS),
                     StatementProxySettings::of,
                     settings -> List.of());
 
@@ -71,6 +74,7 @@
                 values.value(READINESS),
                 values.number(DirectorySettings.PEER_PORT),
                 values.value(DirectorySettings.SEED_ADDRESSES),
-                values.value(STOP) * 1_000);
+                values.value(STOP) * 1_000,
+                values.value(DirectorySettings.METRICS));
     }
 }
--- a/app/src/main/java/org/ragwortmoor/settings/SettingsReference.java
+++ b/app/src/main/java/org/ragwortmoor/settings/SettingsReference.java
@@ -1,6 +1,8 @@
 package org.ragwortmoor.settings;
 
 import java.util.List;
+import org.ragwortmoor.directory.DirectorySettings;
+import org.ragwortmoor.directory.StatementProxySettings;
 import org.ragwortmoor.load.LoadSettings;
 
 /** The reference page of all settings, {@code docs/settings.md}. */
@@ -10,7 +12,9 @@
                     ProxySettings.ROLE,
                     ControlSettings.ROLE,
                     EndpointSettings.ROLE,
-                    LoadSettings.ROLE);
+                    LoadSettings.ROLE,
+                    StatementProxySettings.ROLE,
+                    DirectorySettings.ROLE);
 
     private static final String INTRODUCTION =
             """
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -135,25 +134,12 @@
 
     /** Sends a server's answer to the caller. */
     void answer(ExchangeResult.Completed completed, String transactionState) {
-        List<StatementMessage> messages = new ArrayList<>();
-        completed.rows().forEach(row -> messages.add(StatementMessage.of(MessageKind.ROW, row)));
-        messages.add(StatementMessage.of(MessageKind.COMPLETE, completed.signature()));
-        messages.add(ready(transactionState, PositionField.format(completed.position())));
-        finish(messages);
+        finish(CallerAnswers.served(completed, transactionState));
     }
 
     /** Sends an error to the caller. */
     void answerError(String code, String reason) {
-        boolean waits =
-                code.equals(ErrorCode.OVERLOAD.name()) || code.equals(ErrorCode.BUSY.name());
-        String text =
-                waits
-                        ? "retry-after-ms=" + SessionSettings.RETRY_AFTER_MILLIS + " " + reason
-                        : reason;
-        finish(
-                List.of(
-                        StatementMessage.of(MessageKind.ERROR, code, text),
-                        ready(stateName(), PositionField.NONE)));
+        finish(CallerAnswers.error(code, reason, stateName()));
     }
 
     void logStatement(
@@ -182,7 +168,7 @@
             return;
         }
         greeted = true;
-        finish(List.of(ready(ExchangeResult.IDLE, PositionField.NONE)));
+        finish(List.of(CallerAnswers.ready(ExchangeResult.IDLE, PositionField.NONE)));
     }
 
     private void handle(StatementMessage message) {
@@ -318,10 +304,7 @@
     }
 
     private void answerOwn() {
-        finish(
-                List.of(
-                        StatementMessage.of(MessageKind.COMPLETE, ExchangeResult.UNSIGNED),
-                        ready(stateName(), PositionField.NONE)));
+        finish(CallerAnswers.own(stateName()));
     }
 
     private String stateName() {
@@ -369,10 +352,6 @@
         }
     }
 
-    private static StatementMessage ready(String transactionState, String position) {
-        return StatementMessage.of(MessageKind.READY, transactionState, position);
-    }
-
     private void sendError(String code, String reason) {
         link.send(List.of(StatementMessage.of(MessageKind.ERROR, code, reason)));
     }
