Promote only on the word of at least half of all proxies

Change: the number of proxies is replicated state, so a new leader knows it; a primary counts as lost only if at least half of all proxies report. theFewProxiesOnTheLeadersSideOfACutProveNothing would fail before.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -70,6 +70,7 @@
     private DirectoryLog log;
     private boolean ready;
     private boolean closed;
+    private int proposedCount = -1;
 
     /**
      * Starts the process.
@@ -199,6 +200,7 @@
             if (ready) {
                 membership.next(log.log().status(now)).forEach(log::change);
                 failover.tick(state(), now);
+                countProxies(now);
             } else {
                 membership.askToJoin(log.log(), now);
             }
@@ -208,6 +210,16 @@
         }
     }
 
+    private void countProxies(long now) {
+        for (int count : proxies.count(now)) {
+            if (count != state().proxies() && count != proposedCount) {
+                proposedCount = count;
+                LOG.info("event=proxies_counted count={} before={}", count, state().proxies());
+                log.propose(new DirectoryCommand.CountProxies(count), done -> proposedCount = -1);
+            }
+        }
+    }
+
     private void reopen() {
         LOG.warn("event=storage_failed reason=\"{}\"", log.log().failure().get().message());
         log.close();
@@ -246,7 +258,7 @@
 
     private void push() {
         if (ready) {
-            proxies.push(state(), memberAddresses(), System.nanoTime());
+            proxies.push(state(), memberAddresses());
         }
     }
 
@@ -335,7 +347,7 @@
             }
             proxies.reported(report, reply, now);
             failover.observed(report, now);
-            proxies.answer(report.getProxy(), state(), memberAddresses(), now);
+            proxies.answer(report.getProxy(), state(), memberAddresses());
         }
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.directory;
 
 import com.google.protobuf.ByteString;
+import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,7 +22,7 @@
     private static final long LIFE = TimeUnit.SECONDS.toNanos(10);
 
     /** Time after an election in which the number of proxies is not known, in nanoseconds. */
-    private static final long COUNTING = TimeUnit.SECONDS.toNanos(2);
+    private static final long COUNTING = TimeUnit.SECONDS.toNanos(3);
 
     private final Map<String, Known> proxies = new HashMap<>();
     private long countingSince;
@@ -47,36 +48,36 @@
         known.reportedAt = now;
     }
 
-    /** Returns the number of proxies that share the servers; 0 if it is not known. */
-    int count(long now) {
+    /** Returns the number of proxies, or nothing while too little time has passed to count them. */
+    Option<Integer> count(long now) {
         proxies.values().removeIf(p -> now - p.reportedAt > LIFE);
-        return now - countingSince < COUNTING ? 0 : proxies.size();
+        return Option.when(now - countingSince >= COUNTING && !proxies.isEmpty(), proxies::size);
     }
 
     /** Sends one proxy what it lacks. */
-    void answer(String proxy, DirectoryState state, List<String> members, long now) {
+    void answer(String proxy, DirectoryState state, List<String> members) {
         Known known = proxies.get(proxy);
         if (known != null) {
-            send(known, state, members, now);
+            send(known, state, members);
         }
     }
 
     /** Sends all proxies that lack something what they lack. */
-    void push(DirectoryState state, List<String> members, long now) {
+    void push(DirectoryState state, List<String> members) {
         for (Known known : proxies.values()) {
             if (known.routesRevision < state.routesRevision()
                     || known.serversRevision < state.serversRevision()) {
-                send(known, state, members, now);
+                send(known, state, members);
             }
         }
     }
 
-    private void send(Known known, DirectoryState state, List<String> members, long now) {
+    private void send(Known known, DirectoryState state, List<String> members) {
         DirectoryUpdateMessage.Builder update =
                 DirectoryUpdateMessage.newBuilder()
                         .setLeader(true)
                         .addAllMembers(members)
-                        .setProxies(count(now))
+                        .setProxies(state.proxies())
                         .setRoutesRevision(state.routesRevision())
                         .setServersRevision(state.serversRevision());
         if (known.routesRevision < state.routesRevision()) {
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -132,7 +132,7 @@
         if (primary.get().state() == ServerState.DRAINING) {
             return "the primary " + primary.get().id() + " leaves";
         }
-        return evidence.loss(now);
+        return evidence.loss(state.proxies(), now);
     }
 
     /** At a start, replicas may announce themselves before the primary does. */
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryEvidence.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryEvidence.java
@@ -7,8 +7,9 @@
  * What the proxies report about the primary of one group.
  *
  * <p>The primary counts as lost when more than half of the proxies with fresh reports have had no
- * answer from it. One proxy behind a cut proves nothing, and a primary that most proxies reach goes
- * on serving them, whatever the control process itself can reach.
+ * answer from it, and at least half of all proxies report. One proxy behind a cut proves nothing,
+ * and a primary that most proxies reach goes on serving them, also when the control process hears
+ * only from the few on its own side of a cut.
  */
 final class PrimaryEvidence {
     private final Map<String, Report> reports = new HashMap<>();
@@ -22,8 +23,10 @@
     /**
      * Returns why the group counts as without a leader, or an empty text if it does not. A proxy
      * that works with another leader than the directory names counts as served.
+     *
+     * @param proxies number of all proxies
      */
-    String loss(long now) {
+    String loss(int proxies, long now) {
         int fresh = 0;
         int lost = 0;
         for (Report report : reports.values()) {
@@ -39,7 +42,8 @@
                 lost++;
             }
         }
-        return fresh > 0 && lost * 2 > fresh
+        boolean heard = fresh > 0 && fresh * 2 >= proxies;
+        return heard && lost * 2 > fresh
                 ? lost + " of " + fresh + " proxies have no answer from the primary"
                 : "";
     }
--- a/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -41,6 +41,8 @@
                             .setGroup(order.group())
                             .setServer(order.server())
                             .setHolder(order.holder()));
+        } else if (command instanceof DirectoryCommand.CountProxies count) {
+            builder.setCountProxies(count.proxies());
         } else if (command instanceof DirectoryCommand.ReadBarrier barrier) {
             builder.setReadBarrier(barrier.id());
         }
@@ -62,6 +64,7 @@
                             message.getOrderPromotion().getGroup(),
                             message.getOrderPromotion().getServer(),
                             message.getOrderPromotion().getHolder());
+            case COUNT_PROXIES -> new DirectoryCommand.CountProxies(message.getCountProxies());
             case READ_BARRIER -> new DirectoryCommand.ReadBarrier(message.getReadBarrier());
             case COMMAND_NOT_SET -> throw MalformedException.missing("command");
         };
@@ -73,7 +76,8 @@
                 DirectorySnapshotMessage.newBuilder()
                         .setRoutes(encode(state.routes(), true))
                         .setRoutesRevision(state.routesRevision())
-                        .setServersRevision(state.serversRevision());
+                        .setServersRevision(state.serversRevision())
+                        .setProxies(state.proxies());
         state.servers().values().forEach(s -> builder.addServers(encode(s)));
         for (Promotion promotion : state.promotions().values()) {
             builder.addPromotions(
@@ -110,7 +114,8 @@
                 message.getRoutesRevision(),
                 servers,
                 message.getServersRevision(),
-                promotions);
+                promotions,
+                message.getProxies());
     }
 
     /** Returns the message of a table; proxies need no source. */
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -129,53 +129,54 @@
       "te\030\007 \001(\t\022\017\n\007primary\030\010 \001(\010\022\022\n\nchanged_at\030" +
       "\t \001(\004\"P\n\020PromotionMessage\022\r\n\005group\030\001 \001(\t" +
       "\022\016\n\006server\030\002 \001(\t\022\016\n\006holder\030\003 \001(\t\022\r\n\005toke" +
-      "n\030\004 \001(\004\"\374\001\n\027DirectoryCommandMessage\022>\n\np" +
+      "n\030\004 \001(\004\"\225\002\n\027DirectoryCommandMessage\022>\n\np" +
       "ut_routes\030\001 \001(\0132(.ragwortmoor.directory." +
       "RouteTableMessageH\000\022:\n\nput_server\030\002 \001(\0132" +
       "$.ragwortmoor.directory.ServerMessageH\000\022" +
       "B\n\017order_promotion\030\003 \001(\0132\'.ragwortmoor.d" +
       "irectory.PromotionMessageH\000\022\026\n\014read_barr" +
-      "ier\030\004 \001(\004H\000B\t\n\007command\"\373\001\n\030DirectorySnap" +
-      "shotMessage\0228\n\006routes\030\001 \001(\0132(.ragwortmoo" +
-      "r.directory.RouteTableMessage\022\027\n\017routes_" +
-      "revision\030\002 \001(\004\0225\n\007servers\030\003 \003(\0132$.ragwor" +
-      "tmoor.directory.ServerMessage\022\030\n\020servers" +
-      "_revision\030\004 \001(\004\022;\n\npromotions\030\005 \003(\0132\'.ra" +
-      "gwortmoor.directory.PromotionMessage\"b\n\031" +
-      "PrimaryObservationMessage\022\r\n\005group\030\001 \001(\t" +
-      "\022\016\n\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003 \001(\r\022" +
-      "\017\n\007refused\030\004 \001(\010\"\232\001\n\021NodeReportMessage\022\r" +
-      "\n\005proxy\030\001 \001(\t\022\027\n\017routes_revision\030\002 \001(\004\022\030" +
-      "\n\020servers_revision\030\003 \001(\004\022C\n\tprimaries\030\004 " +
-      "\003(\01320.ragwortmoor.directory.PrimaryObser" +
-      "vationMessage\"\203\002\n\026DirectoryUpdateMessage" +
-      "\022\016\n\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007pro" +
-      "xies\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006r" +
-      "outes\030\005 \001(\0132(.ragwortmoor.directory.Rout" +
-      "eTableMessage\022\030\n\020servers_revision\030\006 \001(\004\022" +
-      "\023\n\013has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$." +
-      "ragwortmoor.directory.ServerMessage\"A\n\013J" +
-      "oinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030" +
-      "\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedRequ" +
-      "estMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030\002 \001" +
-      "(\0132(.ragwortmoor.directory.RouteTableMes" +
-      "sageH\000\022H\n\014announcement\030\003 \001(\01320.ragwortmo" +
-      "or.directory.ServerAnnouncementMessageH\000" +
-      "\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007request\"c\n\031Se" +
-      "rverAnnouncementMessage\0224\n\006server\030\001 \001(\0132" +
-      "$.ragwortmoor.directory.ServerMessage\022\020\n" +
-      "\010sequence\030\002 \001(\004\"E\n\026ForwardedAnswerMessag" +
-      "e\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006source" +
-      "\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:\n\006report\030\001 " +
-      "\001(\0132(.ragwortmoor.directory.NodeReportMe" +
-      "ssageH\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor.di" +
-      "rectory.DirectoryUpdateMessageH\000\0222\n\004join" +
-      "\030\003 \001(\0132\".ragwortmoor.directory.JoinMessa" +
-      "geH\000\022A\n\007request\030\004 \001(\0132..ragwortmoor.dire" +
-      "ctory.ForwardedRequestMessageH\000\022?\n\006answe" +
-      "r\030\005 \001(\0132-.ragwortmoor.directory.Forwarde" +
-      "dAnswerMessageH\000B\006\n\004bodyB!\n\035org.ragwortm" +
-      "oor.protocol.wireP\001b\006proto3"
+      "ier\030\004 \001(\004H\000\022\027\n\rcount_proxies\030\005 \001(\rH\000B\t\n\007" +
+      "command\"\214\002\n\030DirectorySnapshotMessage\0228\n\006" +
+      "routes\030\001 \001(\0132(.ragwortmoor.directory.Rou" +
+      "teTableMessage\022\027\n\017routes_revision\030\002 \001(\004\022" +
+      "5\n\007servers\030\003 \003(\0132$.ragwortmoor.directory" +
+      ".ServerMessage\022\030\n\020servers_revision\030\004 \001(\004" +
+      "\022;\n\npromotions\030\005 \003(\0132\'.ragwortmoor.direc" +
+      "tory.PromotionMessage\022\017\n\007proxies\030\006 \001(\r\"b" +
+      "\n\031PrimaryObservationMessage\022\r\n\005group\030\001 \001" +
+      "(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003 \001(" +
+      "\r\022\017\n\007refused\030\004 \001(\010\"\232\001\n\021NodeReportMessage" +
+      "\022\r\n\005proxy\030\001 \001(\t\022\027\n\017routes_revision\030\002 \001(\004" +
+      "\022\030\n\020servers_revision\030\003 \001(\004\022C\n\tprimaries\030" +
+      "\004 \003(\01320.ragwortmoor.directory.PrimaryObs" +
+      "ervationMessage\"\203\002\n\026DirectoryUpdateMessa" +
+      "ge\022\016\n\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007p" +
+      "roxies\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n" +
+      "\006routes\030\005 \001(\0132(.ragwortmoor.directory.Ro" +
+      "uteTableMessage\022\030\n\020servers_revision\030\006 \001(" +
+      "\004\022\023\n\013has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132" +
+      "$.ragwortmoor.directory.ServerMessage\"A\n" +
+      "\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnatio" +
+      "n\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedRe" +
+      "questMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030\002" +
+      " \001(\0132(.ragwortmoor.directory.RouteTableM" +
+      "essageH\000\022H\n\014announcement\030\003 \001(\01320.ragwort" +
+      "moor.directory.ServerAnnouncementMessage" +
+      "H\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007request\"c\n\031" +
+      "ServerAnnouncementMessage\0224\n\006server\030\001 \001(" +
+      "\0132$.ragwortmoor.directory.ServerMessage\022" +
+      "\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedAnswerMess" +
+      "age\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006sour" +
+      "ce\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:\n\006report\030" +
+      "\001 \001(\0132(.ragwortmoor.directory.NodeReport" +
+      "MessageH\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor." +
+      "directory.DirectoryUpdateMessageH\000\0222\n\004jo" +
+      "in\030\003 \001(\0132\".ragwortmoor.directory.JoinMes" +
+      "sageH\000\022A\n\007request\030\004 \001(\0132..ragwortmoor.di" +
+      "rectory.ForwardedRequestMessageH\000\022?\n\006ans" +
+      "wer\030\005 \001(\0132-.ragwortmoor.directory.Forwar" +
+      "dedAnswerMessageH\000B\006\n\004bodyB!\n\035org.ragwor" +
+      "tmoor.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -216,13 +217,13 @@
     internal_static_ragwortmoor_directory_DirectoryCommandMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor,
-        new java.lang.String[] { "PutRoutes", "PutServer", "OrderPromotion", "ReadBarrier", "Command", });
+        new java.lang.String[] { "PutRoutes", "PutServer", "OrderPromotion", "ReadBarrier", "CountProxies", "Command", });
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor,
-        new java.lang.String[] { "Routes", "RoutesRevision", "Servers", "ServersRevision", "Promotions", });
+        new java.lang.String[] { "Routes", "RoutesRevision", "Servers", "ServersRevision", "Promotions", "Proxies", });
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_fieldAccessorTable = new
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessage.java
@@ -53,6 +53,7 @@
     PUT_SERVER(2),
     ORDER_PROMOTION(3),
     READ_BARRIER(4),
+    COUNT_PROXIES(5),
     COMMAND_NOT_SET(0);
     private final int value;
     private CommandCase(int value) {
@@ -74,6 +75,7 @@
         case 2: return PUT_SERVER;
         case 3: return ORDER_PROMOTION;
         case 4: return READ_BARRIER;
+        case 5: return COUNT_PROXIES;
         case 0: return COMMAND_NOT_SET;
         default: return null;
       }
@@ -203,6 +205,27 @@
     return 0L;
   }
 
+  public static final int COUNT_PROXIES_FIELD_NUMBER = 5;
+  /**
+   * <code>uint32 count_proxies = 5;</code>
+   * @return Whether the countProxies field is set.
+   */
+  @java.lang.Override
+  public boolean hasCountProxies() {
+    return commandCase_ == 5;
+  }
+  /**
+   * <code>uint32 count_proxies = 5;</code>
+   * @return The countProxies.
+   */
+  @java.lang.Override
+  public int getCountProxies() {
+    if (commandCase_ == 5) {
+      return (java.lang.Integer) command_;
+    }
+    return 0;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -230,6 +253,10 @@
       output.writeUInt64(
           4, (long)((java.lang.Long) command_));
     }
+    if (commandCase_ == 5) {
+      output.writeUInt32(
+          5, (int)((java.lang.Integer) command_));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -256,6 +283,11 @@
         .computeUInt64Size(
             4, (long)((java.lang.Long) command_));
     }
+    if (commandCase_ == 5) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(
+            5, (int)((java.lang.Integer) command_));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -289,6 +321,10 @@
         if (getReadBarrier()
             != other.getReadBarrier()) return false;
         break;
+      case 5:
+        if (getCountProxies()
+            != other.getCountProxies()) return false;
+        break;
       case 0:
       default:
     }
@@ -321,6 +357,10 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
             getReadBarrier());
         break;
+      case 5:
+        hash = (37 * hash) + COUNT_PROXIES_FIELD_NUMBER;
+        hash = (53 * hash) + getCountProxies();
+        break;
       case 0:
       default:
     }
@@ -548,6 +588,10 @@
           setReadBarrier(other.getReadBarrier());
           break;
         }
+        case COUNT_PROXIES: {
+          setCountProxies(other.getCountProxies());
+          break;
+        }
         case COMMAND_NOT_SET: {
           break;
         }
@@ -604,6 +648,11 @@
               commandCase_ = 4;
               break;
             } // case 32
+            case 40: {
+              command_ = input.readUInt32();
+              commandCase_ = 5;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1104,6 +1153,48 @@
       return this;
     }
 
+    /**
+     * <code>uint32 count_proxies = 5;</code>
+     * @return Whether the countProxies field is set.
+     */
+    public boolean hasCountProxies() {
+      return commandCase_ == 5;
+    }
+    /**
+     * <code>uint32 count_proxies = 5;</code>
+     * @return The countProxies.
+     */
+    public int getCountProxies() {
+      if (commandCase_ == 5) {
+        return (java.lang.Integer) command_;
+      }
+      return 0;
+    }
+    /**
+     * <code>uint32 count_proxies = 5;</code>
+     * @param value The countProxies to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCountProxies(int value) {
+
+      commandCase_ = 5;
+      command_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 count_proxies = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCountProxies() {
+      if (commandCase_ == 5) {
+        commandCase_ = 0;
+        command_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectoryCommandMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessageOrBuilder.java
@@ -66,5 +66,16 @@
    */
   long getReadBarrier();
 
+  /**
+   * <code>uint32 count_proxies = 5;</code>
+   * @return Whether the countProxies field is set.
+   */
+  boolean hasCountProxies();
+  /**
+   * <code>uint32 count_proxies = 5;</code>
+   * @return The countProxies.
+   */
+  int getCountProxies();
+
   org.ragwortmoor.protocol.wire.DirectoryCommandMessage.CommandCase getCommandCase();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessage.java
@@ -176,6 +176,17 @@
     return promotions_.get(index);
   }
 
+  public static final int PROXIES_FIELD_NUMBER = 6;
+  private int proxies_ = 0;
+  /**
+   * <code>uint32 proxies = 6;</code>
+   * @return The proxies.
+   */
+  @java.lang.Override
+  public int getProxies() {
+    return proxies_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -205,6 +216,9 @@
     for (int i = 0; i < promotions_.size(); i++) {
       output.writeMessage(5, promotions_.get(i));
     }
+    if (proxies_ != 0) {
+      output.writeUInt32(6, proxies_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -234,6 +248,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, promotions_.get(i));
     }
+    if (proxies_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, proxies_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -262,6 +280,8 @@
         != other.getServersRevision()) return false;
     if (!getPromotionsList()
         .equals(other.getPromotionsList())) return false;
+    if (getProxies()
+        != other.getProxies()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -291,6 +311,8 @@
       hash = (37 * hash) + PROMOTIONS_FIELD_NUMBER;
       hash = (53 * hash) + getPromotionsList().hashCode();
     }
+    hash = (37 * hash) + PROXIES_FIELD_NUMBER;
+    hash = (53 * hash) + getProxies();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -451,6 +473,7 @@
         promotionsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      proxies_ = 0;
       return this;
     }
 
@@ -519,6 +542,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.serversRevision_ = serversRevision_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.proxies_ = proxies_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -595,6 +621,9 @@
           }
         }
       }
+      if (other.getProxies() != 0) {
+        setProxies(other.getProxies());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -664,6 +693,11 @@
               }
               break;
             } // case 42
+            case 48: {
+              proxies_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1346,6 +1380,38 @@
       return promotionsBuilder_;
     }
 
+    private int proxies_ ;
+    /**
+     * <code>uint32 proxies = 6;</code>
+     * @return The proxies.
+     */
+    @java.lang.Override
+    public int getProxies() {
+      return proxies_;
+    }
+    /**
+     * <code>uint32 proxies = 6;</code>
+     * @param value The proxies to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProxies(int value) {
+
+      proxies_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 proxies = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProxies() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      proxies_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectorySnapshotMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessageOrBuilder.java
@@ -84,4 +84,10 @@
    */
   org.ragwortmoor.protocol.wire.PromotionMessageOrBuilder getPromotionsOrBuilder(
       int index);
+
+  /**
+   * <code>uint32 proxies = 6;</code>
+   * @return The proxies.
+   */
+  int getProxies();
 }
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryCommand.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryCommand.java
@@ -13,6 +13,9 @@
     /** Orders a promotion; its fencing token is the index of this entry. */
     record OrderPromotion(String group, String server, String holder) implements DirectoryCommand {}
 
+    /** Records how many proxies the system has. */
+    record CountProxies(int proxies) implements DirectoryCommand {}
+
     /** Changes nothing; a reader waits for it to see every earlier command. */
     record ReadBarrier(long id) implements DirectoryCommand {}
 }
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -14,17 +14,19 @@
  * @param servers servers by id
  * @param serversRevision log index of the newest change of a server or promotion
  * @param promotions newest promotion of each group
+ * @param proxies number of proxies that were last counted
  */
 public record DirectoryState(
         RouteTable routes,
         long routesRevision,
         Map<String, ServerRecord> servers,
         long serversRevision,
-        Map<String, Promotion> promotions) {
+        Map<String, Promotion> promotions,
+        int proxies) {
     /** The directory before the first command. */
     public static final DirectoryState EMPTY =
             new DirectoryState(
-                    RouteTable.EMPTY, 0, LinkedHashMap.empty(), 0, LinkedHashMap.empty());
+                    RouteTable.EMPTY, 0, LinkedHashMap.empty(), 0, LinkedHashMap.empty(), 0);
 
     /** Servers that have ended and are still remembered, so that late announcements are known. */
     private static final int MAX_GONE = 500;
@@ -33,7 +35,8 @@
     public DirectoryState apply(DirectoryCommand command, long index) {
         if (command instanceof DirectoryCommand.PutRoutes put) {
             return put.table().version() > routes.version()
-                    ? new DirectoryState(put.table(), index, servers, serversRevision, promotions)
+                    ? new DirectoryState(
+                            put.table(), index, servers, serversRevision, promotions, proxies)
                     : this;
         }
         if (command instanceof DirectoryCommand.PutServer put) {
@@ -47,7 +50,12 @@
                     routesRevision,
                     servers,
                     index,
-                    promotions.put(order.group(), promotion));
+                    promotions.put(order.group(), promotion),
+                    proxies);
+        }
+        if (command instanceof DirectoryCommand.CountProxies count) {
+            return new DirectoryState(
+                    routes, routesRevision, servers, serversRevision, promotions, count.proxies());
         }
         return this;
     }
@@ -75,7 +83,7 @@
         boolean reborn = known != null && known.bornAtMillis() != server.bornAtMillis();
         Map<String, Promotion> kept =
                 promotions.filterValues(p -> !(reborn && p.server().equals(server.id())));
-        return new DirectoryState(routes, routesRevision, changed, index, kept);
+        return new DirectoryState(routes, routesRevision, changed, index, kept, proxies);
     }
 
     /** Returns the servers of a group that have not ended. */
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -36,6 +36,7 @@
         server("s1", ServerState.READY, true);
         server("s2", ServerState.READY, false);
         server("s3", ServerState.READY, false);
+        apply(new DirectoryCommand.CountProxies(PROXIES));
         failover.restart(now);
     }
 
@@ -94,6 +95,17 @@
         }
     }
 
+    @Test
+    void theFewProxiesOnTheLeadersSideOfACutProveNothing() {
+        setUp(0);
+        for (int i = 0; i < 100; i++) {
+            failover.observed("p0", "g", "s1", 650 * MILLI, true, now);
+            failover.observed("p1", "g", "s1", 650 * MILLI, true, now);
+            failover.observed("p2", "g", "s1", 650 * MILLI, true, now);
+            assertThat(tick(100)).isEmpty();
+        }
+    }
+
     @Test
     void ordinaryPausesBetweenProofsProveNothing() {
         setUp(0);
