Repeat a promotion call instead of replacing its order; refuse at once in a long outage

Change: an order is repeated for about 12 s with its token, and stops when most proxies work with a leader. When a group has had no leader for 1.8 s, a statement waits a fifth of its latency objective and is told when to come back. anOrderIsNotReplacedWhileItsCallsMayOnlyBeLate and inALongOutageACallerIsToldAtOnceToComeBack cover both.

--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
@@ -29,13 +29,16 @@
     static final long RESURVEY = TimeUnit.MILLISECONDS.toNanos(40);
 
     /** Time after which a call without an answer is repeated with the same token. */
-    static final long CALL_RETRY = TimeUnit.MILLISECONDS.toNanos(1_000);
+    static final long CALL_RETRY = TimeUnit.MILLISECONDS.toNanos(800);
 
     /** Pause after a failed call, so that the platform's rate is kept. */
     static final long CALL_BACKOFF = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Calls of one order at most, before another server is chosen. */
-    static final int CALLS = 3;
+    /**
+     * Calls of one order at most, before another server is chosen. A new order would void a call
+     * that is only late, and calls are carried out up to 12 s late.
+     */
+    static final int CALLS = 16;
 
     /** Time after an accepted promotion in which no other is ordered. */
     static final long SETTLE = TimeUnit.MILLISECONDS.toNanos(2_500);
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -70,7 +70,7 @@
                 }
                 yield List.of();
             }
-            case CALLING -> call(now);
+            case CALLING -> callAgain(state, now);
             case SETTLING -> {
                 if (now - phaseUntil >= 0) {
                     phase = Phase.WATCHING;
@@ -232,6 +232,16 @@
         return call(now);
     }
 
+    /** A call without an answer may have been carried out; proxies then work with a leader. */
+    private List<FailoverAction> callAgain(DirectoryState state, long now) {
+        if (calls > 0 && evidence.served(state.proxies(), now)) {
+            phase = Phase.SETTLING;
+            phaseUntil = now + FailoverSettings.SETTLE;
+            return List.of();
+        }
+        return call(now);
+    }
+
     private List<FailoverAction> call(long now) {
         if (now - phaseUntil < 0) {
             return List.of();
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryEvidence.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryEvidence.java
@@ -48,6 +48,18 @@
                 : "";
     }
 
+    /** Returns whether most proxies work with a leader, whichever it is. */
+    boolean served(int proxies, long now) {
+        int served = 0;
+        for (Report report : reports.values()) {
+            boolean fresh = now - report.at() <= FailoverSettings.REPORT_LIFE;
+            if (fresh && !report.refused() && report.silent() < FailoverSettings.OVERDUE) {
+                served++;
+            }
+        }
+        return served > 0 && served * 2 > proxies;
+    }
+
     void clear() {
         reports.clear();
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
@@ -124,13 +124,14 @@
             required = session.requiredPosition(group, route, beganAt);
             onLeader = required.isEmpty();
         }
+        LeaseRequest.Need need = onLeader ? LeaseRequest.Need.LEADER : LeaseRequest.Need.ANY;
         request =
                 new LeaseRequest(
-                        onLeader ? LeaseRequest.Need.LEADER : LeaseRequest.Need.ANY,
+                        need,
                         route.priority(),
                         session.state().values(),
                         excluded,
-                        current.waitDeadline(),
+                        group.patience(need, route, current.waitDeadline()),
                         new Lease());
         group.request(request);
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -6,9 +6,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
+import org.ragwortmoor.state.routes.Route;
 
 /** The servers of one group: who leads, what is fresh, and who gets the next connection. */
 final class ServerGroup {
@@ -133,6 +135,19 @@
         position.forEach(p -> leader.seenTerm(p.term()));
     }
 
+    /**
+     * Returns until when a statement may wait for a connection. While the group has had no leader
+     * for longer than a promotion takes, waiting helps no one: the caller is told to come back.
+     */
+    long patience(LeaseRequest.Need need, Route route, long waitDeadline) {
+        boolean outage =
+                need == LeaseRequest.Need.LEADER
+                        && leader.silentNanos() >= SessionSettings.LONG_OUTAGE;
+        long target = TimeUnit.MILLISECONDS.toNanos(route.targetMillis());
+        long soon = host.now() + target / SessionSettings.OUTAGE_PATIENCE;
+        return outage && soon - waitDeadline < 0 ? soon : waitDeadline;
+    }
+
     /** Asks for a connection; the outcome may come before this returns. */
     void request(LeaseRequest request) {
         int at = waiting.size();
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -31,6 +31,12 @@
     /** Silence after which a leader counts as out of reach; a probe and a new connection. */
     static final long LEADER_LOST = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Time without a leader from which waiting is given up; detection and promotion take 1.6 s. */
+    static final long LONG_OUTAGE = TimeUnit.MILLISECONDS.toNanos(1_800);
+
+    /** Part of the latency objective for which a statement waits in a long outage. */
+    static final int OUTAGE_PATIENCE = 5;
+
     /** Time without an answer to an outstanding statement after which a server is avoided. */
     static final long SILENCE = TimeUnit.MILLISECONDS.toNanos(400);
 
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SingleStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SingleStatement.java
@@ -150,13 +150,14 @@
         private boolean sent;
 
         void start() {
+            LeaseRequest.Need need = onLeader ? LeaseRequest.Need.LEADER : LeaseRequest.Need.ANY;
             request =
                     new LeaseRequest(
-                            onLeader ? LeaseRequest.Need.LEADER : LeaseRequest.Need.ANY,
+                            need,
                             statement.route().priority(),
                             session.state().values(),
                             excluded,
-                            statement.waitDeadline(),
+                            group.patience(need, statement.route(), statement.waitDeadline()),
                             this);
             group.request(request);
         }
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -198,4 +198,18 @@
         assertThat(tick(2_000)).isEmpty();
         assertThat(only(tick(1_500), FailoverAction.Survey.class)).hasSize(2);
     }
+
+    @Test
+    void anOrderIsNotReplacedWhileItsCallsMayOnlyBeLate() {
+        setUp(0);
+        failover.ordered("g", "s2", 42, now);
+        for (int i = 0; i < 10; i++) {
+            failover.answered("g", 42, CallOutcome.UNKNOWN, now);
+            report(PROXIES, 5_000, true);
+            assertThat(tick(800)).containsExactly(new FailoverAction.Call("g", "s2", 42));
+        }
+        report(0, 0, false);
+        assertThat(tick(900)).isEmpty();
+        assertThat(tick(900)).isEmpty();
+    }
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
@@ -166,4 +166,14 @@
         assertThat(deployment.s1.openSessions()).isLessThanOrEqualTo(4);
         assertThat(deployment.engine.observations().get(0).refused()).isFalse();
     }
+
+    @Test
+    void inALongOutageACallerIsToldAtOnceToComeBack() {
+        deployment.s1.goDark(true);
+        Caller caller = deployment.caller("own");
+        deployment.host.run(3_000);
+        assertThat(caller.ask("WRITE x 1", 100)).startsWith("ERROR OVERLOAD retry-after-ms=");
+        assertThat(caller.ask("BEGIN")).contains("READY T");
+        assertThat(caller.ask("WRITE x 1", 100)).startsWith("ERROR OVERLOAD retry-after-ms=");
+    }
 }
