--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -211,8 +211,8 @@
     }
 
     private void countProxies(long now) {
-        for (int count : proxies.count(now)) {
-            if (count != state().proxies() && count != proposedCount) {
+        for (int count : proxies.changedCount(state().proxies(), now)) {
+            if (count != proposedCount) {
                 proposedCount = count;
                 LOG.info("event=proxies_counted count={} before={}", count, state().proxies());
                 log.propose(new DirectoryCommand.CountProxies(count), done -> proposedCount = -1);
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -21,11 +21,15 @@
     /** Time after its last report for which a proxy counts, in nanoseconds. */
     private static final long LIFE = TimeUnit.SECONDS.toNanos(10);
 
-    /** Time after an election in which the number of proxies is not known, in nanoseconds. */
+    /** Time after an election in which the proxies are still arriving, in nanoseconds. */
     private static final long COUNTING = TimeUnit.SECONDS.toNanos(3);
 
+    /** Time for which fewer proxies have to report before they are counted, in nanoseconds. */
+    private static final long FEWER = TimeUnit.SECONDS.toNanos(30);
+
     private final Map<String, Known> proxies = new HashMap<>();
     private long countingSince;
+    private long fewerSince;
 
     private static final class Known {
         PeerListener.Reply reply;
@@ -38,6 +42,7 @@
     void elected(long now) {
         proxies.clear();
         countingSince = now;
+        fewerSince = now;
     }
 
     void reported(NodeReportMessage report, PeerListener.Reply reply, long now) {
@@ -48,10 +53,18 @@
         known.reportedAt = now;
     }
 
-    /** Returns the number of proxies, or nothing while too little time has passed to count them. */
-    Option<Integer> count(long now) {
+    /**
+     * Returns the number of proxies if it is certain to differ from the known one. A proxy that
+     * reports is there; one that does not may only be cut off, so a lower number has to last.
+     */
+    Option<Integer> changedCount(int known, long now) {
         proxies.values().removeIf(p -> now - p.reportedAt > LIFE);
-        return Option.when(now - countingSince >= COUNTING && !proxies.isEmpty(), proxies::size);
+        if (proxies.size() >= known) {
+            fewerSince = now;
+        }
+        boolean fewer = now - fewerSince >= FEWER && !proxies.isEmpty();
+        boolean more = proxies.size() > known && now - countingSince >= COUNTING;
+        return Option.when(more || fewer, proxies::size);
     }
 
     /** Sends one proxy what it lacks. */
