--- a/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
@@ -198,7 +198,6 @@
                     Rollback.releaseAfter(lease, refused.state(), host);
                 }
                 case LAGGING -> {
-                    lease.server().lagged();
                     excluded.add(lastServer);
                     Rollback.releaseAfter(lease, refused.state(), host);
                 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -27,7 +27,6 @@
     private long heardAt;
     private long retryAt;
     private long drainingSince;
-    private long laggingUntil;
     private long refusedAt;
     private long overloadedAt;
     private boolean everRefused;
@@ -39,7 +38,6 @@
         this.record = record;
         this.heardAt = host.now();
         this.retryAt = host.now();
-        this.laggingUntil = host.now();
         this.drainingSince = host.now();
         this.overloadedAt = host.now() - SessionSettings.OVERLOAD_MEMORY;
     }
@@ -102,14 +100,6 @@
         return everRefused && refusedAt - heardAt >= 0;
     }
 
-    void lagged() {
-        laggingUntil = host.now() + SessionSettings.LAG_MEMORY;
-    }
-
-    boolean lagging() {
-        return host.now() - laggingUntil < 0;
-    }
-
     void heard(long now) {
         heardAt = now;
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -40,9 +40,6 @@
     /** Time without an answer to an outstanding statement after which a server is avoided. */
     static final long SILENCE = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** Time for which a replica that lacked a demanded position is avoided by similar reads. */
-    static final long LAG_MEMORY = TimeUnit.MILLISECONDS.toNanos(150);
-
     /** Pause before a statement that found no free slot is sent again. */
     static final long BUSY_RETRY = TimeUnit.MILLISECONDS.toNanos(15);
 
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SingleStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SingleStatement.java
@@ -288,7 +288,6 @@
             ErrorCode code = ErrorCode.named(failed.code());
             switch (code) {
                 case LAGGING -> {
-                    connection.server().lagged();
                     excluded.add(connection.server().record().id());
                     attempt();
                 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Steps.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Steps.java
@@ -9,14 +9,12 @@
  * <p>The caller's statement follows only after all of them have succeeded.
  */
 final class Steps {
-    private final ServerConnection connection;
     private final Consumer<ExchangeResult> done;
     private int open;
     private ExchangeResult failure;
     private ExchangeResult last;
 
-    private Steps(ServerConnection connection, int count, Consumer<ExchangeResult> done) {
-        this.connection = connection;
+    private Steps(int count, Consumer<ExchangeResult> done) {
         this.open = count;
         this.done = done;
     }
@@ -31,7 +29,7 @@
             List<String> texts,
             long deadline,
             Consumer<ExchangeResult> done) {
-        Steps steps = new Steps(connection, texts.size(), done);
+        Steps steps = new Steps(texts.size(), done);
         for (String text : texts) {
             connection.ask(ServerConnection.OWN_ID, text, deadline, steps::ended);
         }
@@ -47,9 +45,4 @@
             done.accept(failure == null ? last : failure);
         }
     }
-
-    /** Returns the connection of the steps. */
-    ServerConnection connection() {
-        return connection;
-    }
 }
