--- a/app/src/main/java/org/ragwortmoor/directory/DecisionLines.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DecisionLines.java
@@ -14,7 +14,7 @@
  * Writes the session engine's decisions as structured lines and counts them. Successes are only
  * counted; other lines are limited in number, and what was left out is stated.
  */
-final class DecisionLines implements DecisionLog {
+public final class DecisionLines implements DecisionLog {
     /** Lines of one second at most; a line costs about as much as serving a statement. */
     private static final int LINES_PER_SECOND = 40;
 
@@ -32,7 +32,12 @@
     private int lines;
     private long omitted;
 
-    DecisionLines(PrometheusRegistry registry, LongSupplier clock) {
+    /**
+     * Creates the counters and registers them.
+     *
+     * @param clock time in nanoseconds, for the limit of lines
+     */
+    public DecisionLines(PrometheusRegistry registry, LongSupplier clock) {
         this.clock = clock;
         this.statements =
                 Counter.builder()
--- a/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
+++ b/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.ragwortmoor.coordination.engine.Counter;
+import org.ragwortmoor.directory.DecisionLines;
 import org.ragwortmoor.transport.TransportMetrics;
 
 /** Guards against metrics without a line on the page, and alarms on metrics that do not exist. */
@@ -42,6 +44,9 @@
         transport.bytes("p", "in");
         transport.errors("p", "kind");
         transport.droppedMessages("p");
+        DecisionLines decisions = new DecisionLines(registry, System::nanoTime);
+        decisions.statement("id", "database", "server", "ok", "", Option.none(), 1, 1);
+        decisions.connectionLost("group", "server", "reason");
         Set<String> found = new TreeSet<>(described(MetricsText.of(registry)));
         EmbeddedDeployment.Shape shape =
                 EmbeddedDeployment.Shape.carritos().withSizes(List.of("fleet-colina"), 1, 1);
@@ -84,7 +89,10 @@
             }
             assertThat(naming)
                     .containsExactly(
-                            "ControlMetrics.java", "ProxyMetrics.java", "TransportMetrics.java");
+                            "ControlMetrics.java",
+                            "DecisionLines.java",
+                            "ProxyMetrics.java",
+                            "TransportMetrics.java");
         }
         assertThat(registered).hasSize(namedMetrics());
     }
