--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
@@ -44,6 +44,11 @@
     /** Shortest interval of urgent reports, in nanoseconds. */
     private static final long URGENT_INTERVAL = TimeUnit.MILLISECONDS.toNanos(150);
 
+    /**
+     * Proxies that share a server while their number is not known; the usual installation has 7.
+     */
+    private static final int DEFAULT_PROXIES = 10;
+
     private static final Logger LOG = LoggerFactory.getLogger(DirectoryClient.class);
 
     private final String self;
@@ -209,11 +214,6 @@
                 .toOption();
     }
 
-    /**
-     * Proxies that share a server while their number is not known; the usual installation has 7.
-     */
-    private static final int DEFAULT_PROXIES = 10;
-
     private String describe() {
         return engine.view().routesRevision() + "/" + engine.view().serversRevision();
     }
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -28,6 +28,9 @@
     /** Share of the grace after which open transactions are aborted at a planned stop. */
     private static final double TRANSACTION_SHARE = 0.55;
 
+    /** Interval of looking for sessions that have become idle, in milliseconds. */
+    private static final long CLOSE_MILLIS = 100;
+
     /** Part of the grace that is kept for the end of the process, in milliseconds. */
     private static final long END_MILLIS = 400;
 
@@ -146,7 +149,7 @@
         if (engine.sessionCount() == 0) {
             stopped.complete(null);
         } else {
-            after(100, this::closeIdle);
+            after(CLOSE_MILLIS, this::closeIdle);
         }
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -88,6 +88,8 @@
         Option<ServerRecord> primary = state.primary(group);
         List<ServerRecord> replicas = replicas(state, primary);
         if (replicas.isEmpty()) {
+            // A server that was refused once may have come back.
+            rejected.clear();
             return List.of();
         }
         reason = reasonToPromote(state, primary, now);
--- a/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Option;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.state.Position;
 
 /**
@@ -129,7 +128,7 @@
         }
         boolean search =
                 (denying && now - deniedSince >= SessionSettings.DENIED_SEARCH) || server == null;
-        if (search && now - searchedAt >= TimeUnit.MILLISECONDS.toNanos(100)) {
+        if (search && now - searchedAt >= SessionSettings.SEARCH_INTERVAL) {
             searchedAt = now;
             search();
         }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -28,6 +28,9 @@
     /** Time of denials after which other servers are asked whether they lead. */
     static final long DENIED_SEARCH = TimeUnit.MILLISECONDS.toNanos(400);
 
+    /** Interval at which the other servers are asked whether they lead; each takes a round trip. */
+    static final long SEARCH_INTERVAL = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** Silence after which a leader counts as out of reach; a probe and a new connection. */
     static final long LEADER_LOST = TimeUnit.MILLISECONDS.toNanos(500);
 
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -212,4 +212,18 @@
         assertThat(tick(900)).isEmpty();
         assertThat(tick(900)).isEmpty();
     }
+
+    @Test
+    void serversThatWereAllRejectedAreTriedAgain() {
+        setUp(0);
+        for (String server : List.of("s2", "s3")) {
+            failover.ordered("g", server, 42, now);
+            failover.answered("g", 42, CallOutcome.REJECTED, now);
+            now += 300 * MILLI;
+        }
+        report(PROXIES, 5_000, true);
+        List<FailoverAction> later = new ArrayList<>(tick(1));
+        later.addAll(tick(1));
+        assertThat(only(later, FailoverAction.Survey.class)).hasSize(2);
+    }
 }
