Keep the platform's name of a route's prefix in the adapter

Cause: the message of a route carried the wire's field name path_prefix, and the boundary test read neither .proto files nor this word.

--- a/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -129,7 +129,7 @@
                     RouteMessage.newBuilder()
                             .setName(route.name())
                             .setDatabase(route.database())
-                            .setPathPrefix(route.pathPrefix())
+                            .setPrefix(route.prefix())
                             .setKind(route.kind().name())
                             .setGroup(route.group())
                             .setTimeoutMillis(route.timeoutMillis())
@@ -154,7 +154,7 @@
                     new Route(
                             route.getName(),
                             route.getDatabase(),
-                            route.getPathPrefix(),
+                            route.getPrefix(),
                             named(RouteKind.class, route.getKind(), "route.kind"),
                             route.getGroup(),
                             route.getTimeoutMillis(),
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -111,72 +111,72 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\017directory.proto\022\025ragwortmoor.directory" +
-      "\"\277\001\n\014RouteMessage\022\014\n\004name\030\001 \001(\t\022\020\n\010datab" +
-      "ase\030\002 \001(\t\022\023\n\013path_prefix\030\003 \001(\t\022\014\n\004kind\030\004" +
-      " \001(\t\022\r\n\005group\030\005 \001(\t\022\026\n\016timeout_millis\030\006 " +
-      "\001(\r\022\025\n\rtarget_millis\030\007 \001(\r\022\020\n\010priority\030\010" +
-      " \001(\r\022\034\n\024max_staleness_millis\030\t \001(\r\"R\n\022Gr" +
-      "oupLimitsMessage\022\014\n\004name\030\001 \001(\t\022\027\n\017max_co" +
-      "nnections\030\002 \001(\r\022\025\n\rsync_replicas\030\003 \001(\r\"\305" +
-      "\001\n\021RouteTableMessage\022\017\n\007version\030\001 \001(\004\0223\n" +
-      "\006routes\030\002 \003(\0132#.ragwortmoor.directory.Ro" +
-      "uteMessage\0229\n\006groups\030\003 \003(\0132).ragwortmoor" +
-      ".directory.GroupLimitsMessage\022\037\n\027idle_tr" +
-      "ansaction_millis\030\004 \001(\r\022\016\n\006source\030\005 \001(\t\"\244" +
-      "\001\n\rServerMessage\022\n\n\002id\030\001 \001(\t\022\026\n\016born_at_" +
-      "millis\030\002 \001(\003\022\r\n\005group\030\003 \001(\t\022\017\n\007address\030\004" +
-      " \001(\t\022\014\n\004zone\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\r\n\005sta" +
-      "te\030\007 \001(\t\022\017\n\007primary\030\010 \001(\010\022\022\n\nchanged_at\030" +
-      "\t \001(\004\"P\n\020PromotionMessage\022\r\n\005group\030\001 \001(\t" +
-      "\022\016\n\006server\030\002 \001(\t\022\016\n\006holder\030\003 \001(\t\022\r\n\005toke" +
-      "n\030\004 \001(\004\"\225\002\n\027DirectoryCommandMessage\022>\n\np" +
-      "ut_routes\030\001 \001(\0132(.ragwortmoor.directory." +
-      "RouteTableMessageH\000\022:\n\nput_server\030\002 \001(\0132" +
-      "$.ragwortmoor.directory.ServerMessageH\000\022" +
-      "B\n\017order_promotion\030\003 \001(\0132\'.ragwortmoor.d" +
-      "irectory.PromotionMessageH\000\022\026\n\014read_barr" +
-      "ier\030\004 \001(\004H\000\022\027\n\rcount_proxies\030\005 \001(\rH\000B\t\n\007" +
-      "command\"\214\002\n\030DirectorySnapshotMessage\0228\n\006" +
-      "routes\030\001 \001(\0132(.ragwortmoor.directory.Rou" +
-      "teTableMessage\022\027\n\017routes_revision\030\002 \001(\004\022" +
-      "5\n\007servers\030\003 \003(\0132$.ragwortmoor.directory" +
-      ".ServerMessage\022\030\n\020servers_revision\030\004 \001(\004" +
-      "\022;\n\npromotions\030\005 \003(\0132\'.ragwortmoor.direc" +
-      "tory.PromotionMessage\022\017\n\007proxies\030\006 \001(\r\"b" +
-      "\n\031PrimaryObservationMessage\022\r\n\005group\030\001 \001" +
-      "(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003 \001(" +
-      "\r\022\017\n\007refused\030\004 \001(\010\"\232\001\n\021NodeReportMessage" +
-      "\022\r\n\005proxy\030\001 \001(\t\022\027\n\017routes_revision\030\002 \001(\004" +
-      "\022\030\n\020servers_revision\030\003 \001(\004\022C\n\tprimaries\030" +
-      "\004 \003(\01320.ragwortmoor.directory.PrimaryObs" +
-      "ervationMessage\"\203\002\n\026DirectoryUpdateMessa" +
-      "ge\022\016\n\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007p" +
-      "roxies\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n" +
-      "\006routes\030\005 \001(\0132(.ragwortmoor.directory.Ro" +
-      "uteTableMessage\022\030\n\020servers_revision\030\006 \001(" +
-      "\004\022\023\n\013has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132" +
-      "$.ragwortmoor.directory.ServerMessage\"A\n" +
-      "\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnatio" +
-      "n\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedRe" +
-      "questMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030\002" +
-      " \001(\0132(.ragwortmoor.directory.RouteTableM" +
-      "essageH\000\022H\n\014announcement\030\003 \001(\01320.ragwort" +
-      "moor.directory.ServerAnnouncementMessage" +
-      "H\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007request\"c\n\031" +
-      "ServerAnnouncementMessage\0224\n\006server\030\001 \001(" +
-      "\0132$.ragwortmoor.directory.ServerMessage\022" +
-      "\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedAnswerMess" +
-      "age\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006sour" +
-      "ce\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:\n\006report\030" +
-      "\001 \001(\0132(.ragwortmoor.directory.NodeReport" +
-      "MessageH\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor." +
-      "directory.DirectoryUpdateMessageH\000\0222\n\004jo" +
-      "in\030\003 \001(\0132\".ragwortmoor.directory.JoinMes" +
-      "sageH\000\022A\n\007request\030\004 \001(\0132..ragwortmoor.di" +
-      "rectory.ForwardedRequestMessageH\000\022?\n\006ans" +
-      "wer\030\005 \001(\0132-.ragwortmoor.directory.Forwar" +
-      "dedAnswerMessageH\000B\006\n\004bodyB!\n\035org.ragwor" +
-      "tmoor.protocol.wireP\001b\006proto3"
+      "\"\272\001\n\014RouteMessage\022\014\n\004name\030\001 \001(\t\022\020\n\010datab" +
+      "ase\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022" +
+      "\r\n\005group\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\r\022\025" +
+      "\n\rtarget_millis\030\007 \001(\r\022\020\n\010priority\030\010 \001(\r\022" +
+      "\034\n\024max_staleness_millis\030\t \001(\r\"R\n\022GroupLi" +
+      "mitsMessage\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connect" +
+      "ions\030\002 \001(\r\022\025\n\rsync_replicas\030\003 \001(\r\"\305\001\n\021Ro" +
+      "uteTableMessage\022\017\n\007version\030\001 \001(\004\0223\n\006rout" +
+      "es\030\002 \003(\0132#.ragwortmoor.directory.RouteMe" +
+      "ssage\0229\n\006groups\030\003 \003(\0132).ragwortmoor.dire" +
+      "ctory.GroupLimitsMessage\022\037\n\027idle_transac" +
+      "tion_millis\030\004 \001(\r\022\016\n\006source\030\005 \001(\t\"\244\001\n\rSe" +
+      "rverMessage\022\n\n\002id\030\001 \001(\t\022\026\n\016born_at_milli" +
+      "s\030\002 \001(\003\022\r\n\005group\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022" +
+      "\014\n\004zone\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\r\n\005state\030\007 " +
+      "\001(\t\022\017\n\007primary\030\010 \001(\010\022\022\n\nchanged_at\030\t \001(\004" +
+      "\"P\n\020PromotionMessage\022\r\n\005group\030\001 \001(\t\022\016\n\006s" +
+      "erver\030\002 \001(\t\022\016\n\006holder\030\003 \001(\t\022\r\n\005token\030\004 \001" +
+      "(\004\"\225\002\n\027DirectoryCommandMessage\022>\n\nput_ro" +
+      "utes\030\001 \001(\0132(.ragwortmoor.directory.Route" +
+      "TableMessageH\000\022:\n\nput_server\030\002 \001(\0132$.rag" +
+      "wortmoor.directory.ServerMessageH\000\022B\n\017or" +
+      "der_promotion\030\003 \001(\0132\'.ragwortmoor.direct" +
+      "ory.PromotionMessageH\000\022\026\n\014read_barrier\030\004" +
+      " \001(\004H\000\022\027\n\rcount_proxies\030\005 \001(\rH\000B\t\n\007comma" +
+      "nd\"\214\002\n\030DirectorySnapshotMessage\0228\n\006route" +
+      "s\030\001 \001(\0132(.ragwortmoor.directory.RouteTab" +
+      "leMessage\022\027\n\017routes_revision\030\002 \001(\004\0225\n\007se" +
+      "rvers\030\003 \003(\0132$.ragwortmoor.directory.Serv" +
+      "erMessage\022\030\n\020servers_revision\030\004 \001(\004\022;\n\np" +
+      "romotions\030\005 \003(\0132\'.ragwortmoor.directory." +
+      "PromotionMessage\022\017\n\007proxies\030\006 \001(\r\"b\n\031Pri" +
+      "maryObservationMessage\022\r\n\005group\030\001 \001(\t\022\016\n" +
+      "\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003 \001(\r\022\017\n\007" +
+      "refused\030\004 \001(\010\"\232\001\n\021NodeReportMessage\022\r\n\005p" +
+      "roxy\030\001 \001(\t\022\027\n\017routes_revision\030\002 \001(\004\022\030\n\020s" +
+      "ervers_revision\030\003 \001(\004\022C\n\tprimaries\030\004 \003(\013" +
+      "20.ragwortmoor.directory.PrimaryObservat" +
+      "ionMessage\"\203\002\n\026DirectoryUpdateMessage\022\016\n" +
+      "\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxie" +
+      "s\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006rout" +
+      "es\030\005 \001(\0132(.ragwortmoor.directory.RouteTa" +
+      "bleMessage\022\030\n\020servers_revision\030\006 \001(\004\022\023\n\013" +
+      "has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.rag" +
+      "wortmoor.directory.ServerMessage\"A\n\013Join" +
+      "Message\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedRequest" +
+      "Message\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030\002 \001(\0132" +
+      "(.ragwortmoor.directory.RouteTableMessag" +
+      "eH\000\022H\n\014announcement\030\003 \001(\01320.ragwortmoor." +
+      "directory.ServerAnnouncementMessageH\000\022\025\n" +
+      "\013read_routes\030\004 \001(\010H\000B\t\n\007request\"c\n\031Serve" +
+      "rAnnouncementMessage\0224\n\006server\030\001 \001(\0132$.r" +
+      "agwortmoor.directory.ServerMessage\022\020\n\010se" +
+      "quence\030\002 \001(\004\"E\n\026ForwardedAnswerMessage\022\n" +
+      "\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006source\030\003 " +
+      "\001(\t\"\317\002\n\020DirectoryMessage\022:\n\006report\030\001 \001(\013" +
+      "2(.ragwortmoor.directory.NodeReportMessa" +
+      "geH\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor.direc" +
+      "tory.DirectoryUpdateMessageH\000\0222\n\004join\030\003 " +
+      "\001(\0132\".ragwortmoor.directory.JoinMessageH" +
+      "\000\022A\n\007request\030\004 \001(\0132..ragwortmoor.directo" +
+      "ry.ForwardedRequestMessageH\000\022?\n\006answer\030\005" +
+      " \001(\0132-.ragwortmoor.directory.ForwardedAn" +
+      "swerMessageH\000B\006\n\004bodyB!\n\035org.ragwortmoor" +
+      ".protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -187,7 +187,7 @@
     internal_static_ragwortmoor_directory_RouteMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_RouteMessage_descriptor,
-        new java.lang.String[] { "Name", "Database", "PathPrefix", "Kind", "Group", "TimeoutMillis", "TargetMillis", "Priority", "MaxStalenessMillis", });
+        new java.lang.String[] { "Name", "Database", "Prefix", "Kind", "Group", "TimeoutMillis", "TargetMillis", "Priority", "MaxStalenessMillis", });
     internal_static_ragwortmoor_directory_GroupLimitsMessage_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_ragwortmoor_directory_GroupLimitsMessage_fieldAccessorTable = new
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessage.java
@@ -30,7 +30,7 @@
   private RouteMessage() {
     name_ = "";
     database_ = "";
-    pathPrefix_ = "";
+    prefix_ = "";
     kind_ = "";
     group_ = "";
   }
@@ -126,39 +126,39 @@
     }
   }
 
-  public static final int PATH_PREFIX_FIELD_NUMBER = 3;
+  public static final int PREFIX_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
-  private volatile java.lang.Object pathPrefix_ = "";
+  private volatile java.lang.Object prefix_ = "";
   /**
-   * <code>string path_prefix = 3;</code>
-   * @return The pathPrefix.
+   * <code>string prefix = 3;</code>
+   * @return The prefix.
    */
   @java.lang.Override
-  public java.lang.String getPathPrefix() {
-    java.lang.Object ref = pathPrefix_;
+  public java.lang.String getPrefix() {
+    java.lang.Object ref = prefix_;
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
       com.google.protobuf.ByteString bs = 
           (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
-      pathPrefix_ = s;
+      prefix_ = s;
       return s;
     }
   }
   /**
-   * <code>string path_prefix = 3;</code>
-   * @return The bytes for pathPrefix.
+   * <code>string prefix = 3;</code>
+   * @return The bytes for prefix.
    */
   @java.lang.Override
   public com.google.protobuf.ByteString
-      getPathPrefixBytes() {
-    java.lang.Object ref = pathPrefix_;
+      getPrefixBytes() {
+    java.lang.Object ref = prefix_;
     if (ref instanceof java.lang.String) {
       com.google.protobuf.ByteString b = 
           com.google.protobuf.ByteString.copyFromUtf8(
               (java.lang.String) ref);
-      pathPrefix_ = b;
+      prefix_ = b;
       return b;
     } else {
       return (com.google.protobuf.ByteString) ref;
@@ -307,8 +307,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(database_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, database_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathPrefix_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 3, pathPrefix_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(prefix_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, prefix_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(kind_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, kind_);
@@ -343,8 +343,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(database_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, database_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathPrefix_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, pathPrefix_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(prefix_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, prefix_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(kind_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, kind_);
@@ -387,8 +387,8 @@
         .equals(other.getName())) return false;
     if (!getDatabase()
         .equals(other.getDatabase())) return false;
-    if (!getPathPrefix()
-        .equals(other.getPathPrefix())) return false;
+    if (!getPrefix()
+        .equals(other.getPrefix())) return false;
     if (!getKind()
         .equals(other.getKind())) return false;
     if (!getGroup()
@@ -416,8 +416,8 @@
     hash = (53 * hash) + getName().hashCode();
     hash = (37 * hash) + DATABASE_FIELD_NUMBER;
     hash = (53 * hash) + getDatabase().hashCode();
-    hash = (37 * hash) + PATH_PREFIX_FIELD_NUMBER;
-    hash = (53 * hash) + getPathPrefix().hashCode();
+    hash = (37 * hash) + PREFIX_FIELD_NUMBER;
+    hash = (53 * hash) + getPrefix().hashCode();
     hash = (37 * hash) + KIND_FIELD_NUMBER;
     hash = (53 * hash) + getKind().hashCode();
     hash = (37 * hash) + GROUP_FIELD_NUMBER;
@@ -563,7 +563,7 @@
       bitField0_ = 0;
       name_ = "";
       database_ = "";
-      pathPrefix_ = "";
+      prefix_ = "";
       kind_ = "";
       group_ = "";
       timeoutMillis_ = 0;
@@ -610,7 +610,7 @@
         result.database_ = database_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.pathPrefix_ = pathPrefix_;
+        result.prefix_ = prefix_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.kind_ = kind_;
@@ -654,8 +654,8 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
-      if (!other.getPathPrefix().isEmpty()) {
-        pathPrefix_ = other.pathPrefix_;
+      if (!other.getPrefix().isEmpty()) {
+        prefix_ = other.prefix_;
         bitField0_ |= 0x00000004;
         onChanged();
       }
@@ -718,7 +718,7 @@
               break;
             } // case 18
             case 26: {
-              pathPrefix_ = input.readStringRequireUtf8();
+              prefix_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000004;
               break;
             } // case 26
@@ -913,73 +913,73 @@
       return this;
     }
 
-    private java.lang.Object pathPrefix_ = "";
+    private java.lang.Object prefix_ = "";
     /**
-     * <code>string path_prefix = 3;</code>
-     * @return The pathPrefix.
+     * <code>string prefix = 3;</code>
+     * @return The prefix.
      */
-    public java.lang.String getPathPrefix() {
-      java.lang.Object ref = pathPrefix_;
+    public java.lang.String getPrefix() {
+      java.lang.Object ref = prefix_;
       if (!(ref instanceof java.lang.String)) {
         com.google.protobuf.ByteString bs =
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        pathPrefix_ = s;
+        prefix_ = s;
         return s;
       } else {
         return (java.lang.String) ref;
       }
     }
     /**
-     * <code>string path_prefix = 3;</code>
-     * @return The bytes for pathPrefix.
+     * <code>string prefix = 3;</code>
+     * @return The bytes for prefix.
      */
     public com.google.protobuf.ByteString
-        getPathPrefixBytes() {
-      java.lang.Object ref = pathPrefix_;
+        getPrefixBytes() {
+      java.lang.Object ref = prefix_;
       if (ref instanceof String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        pathPrefix_ = b;
+        prefix_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
     /**
-     * <code>string path_prefix = 3;</code>
-     * @param value The pathPrefix to set.
+     * <code>string prefix = 3;</code>
+     * @param value The prefix to set.
      * @return This builder for chaining.
      */
-    public Builder setPathPrefix(
+    public Builder setPrefix(
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
-      pathPrefix_ = value;
+      prefix_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>string path_prefix = 3;</code>
+     * <code>string prefix = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPathPrefix() {
-      pathPrefix_ = getDefaultInstance().getPathPrefix();
+    public Builder clearPrefix() {
+      prefix_ = getDefaultInstance().getPrefix();
       bitField0_ = (bitField0_ & ~0x00000004);
       onChanged();
       return this;
     }
     /**
-     * <code>string path_prefix = 3;</code>
-     * @param value The bytes for pathPrefix to set.
+     * <code>string prefix = 3;</code>
+     * @param value The bytes for prefix to set.
      * @return This builder for chaining.
      */
-    public Builder setPathPrefixBytes(
+    public Builder setPrefixBytes(
         com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
-      pathPrefix_ = value;
+      prefix_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessageOrBuilder.java
@@ -35,16 +35,16 @@
       getDatabaseBytes();
 
   /**
-   * <code>string path_prefix = 3;</code>
-   * @return The pathPrefix.
+   * <code>string prefix = 3;</code>
+   * @return The prefix.
    */
-  java.lang.String getPathPrefix();
+  java.lang.String getPrefix();
   /**
-   * <code>string path_prefix = 3;</code>
-   * @return The bytes for pathPrefix.
+   * <code>string prefix = 3;</code>
+   * @return The bytes for prefix.
    */
   com.google.protobuf.ByteString
-      getPathPrefixBytes();
+      getPrefixBytes();
 
   /**
    * <code>string kind = 4;</code>
--- a/core/src/main/java/org/ragwortmoor/state/routes/Route.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/Route.java
@@ -5,7 +5,7 @@
  *
  * @param name name of the route
  * @param database name under which callers connect
- * @param pathPrefix second part of the route's identity; statements do not use it
+ * @param prefix second part of the route's identity; statements do not use it
  * @param kind freshness of reads
  * @param group the group that serves the database
  * @param timeoutMillis longest time of one statement, in milliseconds
@@ -16,7 +16,7 @@
 public record Route(
         String name,
         String database,
-        String pathPrefix,
+        String prefix,
         RouteKind kind,
         String group,
         int timeoutMillis,
