Open and keep fewer connections to each server

Servers hold connections of a lost process for 3 s, and seven proxies kept up to 21 of 30; up to 42 openings at once also took slots from statements. Change: a proxy keeps half of its share while unused, and opens no more at once than a server has slots. Measured: two tests that fail on the former code (SessionFaultTest).

--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -144,17 +144,18 @@
      * connections may leave no room, so a refusal ends that for a while.
      */
     boolean mayOpen(ConnectionShare share) {
-        if (backingOff()) {
+        // Each opening takes a slot of the server for a while, which statements then wait for.
+        if (backingOff() || opening >= Math.max(1, record.slots())) {
             return false;
         }
         boolean overloaded = host.now() - overloadedAt < SessionSettings.OVERLOAD_MEMORY;
         return connections.size() < (overloaded ? share.own() : share.most());
     }
 
-    /** Closes a connection beyond the proxy's share that has not been used for a while. */
+    /** Closes a connection beyond those to be kept that has not been used for a while. */
     void trim(ConnectionShare share) {
         ServerConnection oldest = idle.peekLast();
-        boolean surplus = oldest != null && connections.size() > share.own();
+        boolean surplus = oldest != null && connections.size() > share.kept();
         if (surplus && host.now() - oldest.idleSince() > SessionSettings.SURPLUS_IDLE) {
             oldest.close("not used any more");
         }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -22,7 +22,7 @@
     private final FreshnessWindow freshness = new FreshnessWindow();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<LeaseRequest> waiting = new ArrayList<>();
-    private ConnectionShare share = new ConnectionShare(1, 1);
+    private ConnectionShare share = new ConnectionShare(1, 1, 1);
     private boolean dispatching;
     private boolean dispatchAgain;
 
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
@@ -167,6 +167,36 @@
         assertThat(deployment.engine.observations().get(0).refused()).isFalse();
     }
 
+    @Test
+    void noMoreConnectionsAreOpenedAtOnceThanTheServerHasSlots() {
+        for (int i = 0; i < 20; i++) {
+            deployment.caller("own").send("WRITE x 1");
+        }
+        int before = deployment.s1.connects();
+        deployment.host.run(1);
+        assertThat(deployment.s1.connects() - before).isBetween(1, 5);
+        deployment.host.run(200);
+        assertThat(deployment.s1.ran()).hasSize(20);
+    }
+
+    @Test
+    void unusedConnectionsLeaveRoomForNewProcessesOfAllProxies() {
+        Caller[] callers = new Caller[4];
+        for (int i = 0; i < callers.length; i++) {
+            callers[i] = deployment.caller("own");
+            callers[i].ask("BEGIN", 1);
+            callers[i].ask("WRITE x 1", 20);
+        }
+        deployment.host.run(100);
+        assertThat(deployment.s1.openSessions()).isGreaterThanOrEqualTo(4);
+        for (Caller caller : callers) {
+            caller.ask("ROLLBACK", 1);
+        }
+        deployment.host.run(6_000);
+        // Seven proxies share 30 connections; twice what they keep must fit.
+        assertThat(2 * 7 * deployment.s1.openSessions()).isLessThanOrEqualTo(30);
+    }
+
     @Test
     void inALongOutageACallerIsToldAtOnceToComeBack() {
         deployment.s1.goDark(true);
