Count the start of a process as quiet time before an election

Cause: after a loss of power the members waited 320 ms from the moment their log was open, though a lease that their former process had confirmed ended while they started (0.5 s); proxies heard of the leader only with their next report (150 ms), and the provider of secure random numbers took 25 ms. Change: a voter counts from the start of its process; an elected leader answers the proxies that asked it within the last second; seeds need no secrecy.

--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -143,6 +143,7 @@
                         config.consensus(),
                         machine,
                         random(),
+                        System.nanoTime(),
                         System.nanoTime());
         if (log.isLeft()) {
             storage.close();
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryLog.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryLog.java
@@ -2,13 +2,13 @@
 
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.control.Either;
-import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.ragwortmoor.coordination.consensus.ConsensusAction;
 import org.ragwortmoor.coordination.consensus.ConsensusEvent;
 import org.ragwortmoor.coordination.consensus.ConsensusSettings;
@@ -16,6 +16,7 @@
 import org.ragwortmoor.coordination.consensus.Refusal;
 import org.ragwortmoor.coordination.consensus.ReplicatedLog;
 import org.ragwortmoor.protocol.DirectoryCodec;
+import org.ragwortmoor.settings.Address;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
@@ -77,22 +78,33 @@
         this.listener = listener;
     }
 
-    /** Opens the data folder, or returns why that is not possible now. */
+    /**
+     * Opens the data folder, or returns why that is not possible now.
+     *
+     * @param quietSince time since which no log of this member was open, in nanoseconds
+     */
     static Either<StorageError, DirectoryLog> open(
-            DirectorySettings settings, MemberAddresses addresses, Listener listener) {
-        Either<StorageError, DirectoryLog> opened = tryOpen(settings, addresses, listener);
+            DirectorySettings settings,
+            MemberAddresses addresses,
+            long quietSince,
+            Listener listener) {
+        Either<StorageError, DirectoryLog> opened =
+                tryOpen(settings, addresses, quietSince, listener);
         if (opened.isRight()) {
             return opened;
         }
         Either<StorageError, Boolean> again =
                 DataFolder.discardIfDamaged(settings.dataFolder(), opened.getLeft());
         return again.isRight()
-                ? tryOpen(settings, addresses, listener)
+                ? tryOpen(settings, addresses, quietSince, listener)
                 : Either.left(again.getLeft());
     }
 
     private static Either<StorageError, DirectoryLog> tryOpen(
-            DirectorySettings settings, MemberAddresses addresses, Listener listener) {
+            DirectorySettings settings,
+            MemberAddresses addresses,
+            long quietSince,
+            Listener listener) {
         FileStorage storage = null;
         try {
             storage =
@@ -102,19 +114,20 @@
                 founders = founders.put(node, addresses.of(node));
             }
             DirectoryMachine machine = new DirectoryMachine();
-            SecureRandom secure = new SecureRandom();
+            RandomGenerator random = new SplittableRandom(seed(settings.controlAddress()));
             FileStorage used = storage;
             Either<StorageError, ReplicatedLog> log =
                     ReplicatedLog.open(
                             storage,
                             settings.controlAddress().toString(),
-                            secure::nextLong,
+                            random::nextLong,
                             LogSettings.DEFAULT,
                             ConsensusSettings.defaults(founders.toJavaMap())
                                     .withTimes(HEARTBEAT, ELECTION_MIN, ELECTION_MAX, LEASE)
                                     .withSnapshotEntries(SNAPSHOT_ENTRIES),
                             machine,
-                            new Random(secure.nextLong()),
+                            random,
+                            quietSince,
                             System.nanoTime());
             if (log.isLeft()) {
                 storage.close();
@@ -130,6 +143,15 @@
         }
     }
 
+    /**
+     * Returns a number of its own for each process and start, for identities and election
+     * deadlines. They need no secrecy, whose provider would take part of the start.
+     */
+    private static long seed(Address self) {
+        long time = System.currentTimeMillis() * TimeUnit.MILLISECONDS.toNanos(1);
+        return (time ^ System.nanoTime()) + ((long) self.hashCode() << Integer.SIZE);
+    }
+
     ReplicatedLog log() {
         return log;
     }
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -75,16 +75,25 @@
     /**
      * Starts the process.
      *
+     * @param start when the process began
      * @param loops an event loop group with one loop
      * @param registry takes the counters of the transports
      * @throws IOException if an address is taken
      */
     public DirectoryNode(
             DirectorySettings settings,
+            ProcessStart start,
             EventLoopGroup loops,
             PromotionCaller promotions,
             PrometheusRegistry registry)
             throws IOException {
+        LOG.info(
+                "event=start role=directory domain={} control={} seeds={} bootstrap={} folder={}",
+                settings.failureDomain(),
+                settings.controlAddress(),
+                settings.seeds(),
+                settings.bootstrap(),
+                settings.dataFolder());
         this.settings = settings;
         this.addresses = new MemberAddresses(settings.peerPort());
         this.loop = loops.next();
@@ -100,22 +109,27 @@
                 new PromotionRunner(
                         self, new StatementClient(loops, host), promotions, loop, this::order);
         server = new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
-        loop.execute(this::open);
+        loop.execute(() -> open(start.at()));
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void open() {
+    /**
+     * Opens the log.
+     *
+     * @param quietSince time since which no log of this member was open
+     */
+    private void open(long quietSince) {
         if (closed) {
             return;
         }
         Either<StorageError, DirectoryLog> opened =
-                DirectoryLog.open(settings, addresses, new LogListener());
+                DirectoryLog.open(settings, addresses, quietSince, new LogListener());
         if (opened.isLeft()) {
             LOG.warn(
                     "event=storage_unavailable reason=\"{}\" retry_ms={}",
                     opened.getLeft().message(),
                     REOPEN_MILLIS);
-            loop.schedule(this::open, REOPEN_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> open(quietSince), REOPEN_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         log = opened.get();
@@ -225,7 +239,8 @@
         log.close();
         log = null;
         ready = false;
-        loop.schedule(this::open, REOPEN_MILLIS, TimeUnit.MILLISECONDS);
+        long closedAt = System.nanoTime();
+        loop.schedule(() -> open(closedAt), REOPEN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void checkReady() {
@@ -239,7 +254,7 @@
             long now = System.nanoTime();
             membership.restart();
             failover.restart(now);
-            proxies.elected(now);
+            proxies.elected(state(), memberAddresses(), now);
         }
     }
 
@@ -336,6 +351,7 @@
         private void report(NodeReportMessage report, Reply reply) {
             long now = System.nanoTime();
             if (!ready) {
+                proxies.reportedEarly(report, reply, now);
                 DirectoryUpdateMessage members =
                         DirectoryUpdateMessage.newBuilder()
                                 .addAllMembers(memberAddresses())
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -27,7 +27,11 @@
     /** Time for which fewer proxies have to report before they are counted, in nanoseconds. */
     private static final long FEWER = TimeUnit.SECONDS.toNanos(30);
 
+    /** Time for which a report to a process that does not lead yet is worth an answer. */
+    private static final long WAITING = TimeUnit.SECONDS.toNanos(1);
+
     private final Map<String, Known> proxies = new HashMap<>();
+    private final Map<String, Known> waiting = new HashMap<>();
     private long countingSince;
     private long fewerSince;
 
@@ -38,15 +42,33 @@
         long reportedAt;
     }
 
-    /** Starts to count the proxies anew. */
-    void elected(long now) {
+    /** Starts to count the proxies anew, and tells those that wait for a leader. */
+    void elected(DirectoryState state, List<String> members, long now) {
         proxies.clear();
         countingSince = now;
         fewerSince = now;
+        waiting.values().removeIf(known -> now - known.reportedAt > WAITING);
+        proxies.putAll(waiting);
+        waiting.clear();
+        proxies.values().forEach(known -> send(known, state, members));
     }
 
+    /** Notes the report of a proxy to this process, which leads. */
     void reported(NodeReportMessage report, PeerListener.Reply reply, long now) {
-        Known known = proxies.computeIfAbsent(report.getProxy(), name -> new Known());
+        note(proxies, report, reply, now);
+    }
+
+    /** Notes a report that this process cannot answer yet; it may be elected in a moment. */
+    void reportedEarly(NodeReportMessage report, PeerListener.Reply reply, long now) {
+        note(waiting, report, reply, now);
+    }
+
+    private static void note(
+            Map<String, Known> reports,
+            NodeReportMessage report,
+            PeerListener.Reply reply,
+            long now) {
+        Known known = reports.computeIfAbsent(report.getProxy(), name -> new Known());
         known.reply = reply;
         known.routesRevision = report.getRoutesRevision();
         known.serversRevision = report.getServersRevision();
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -48,13 +49,24 @@
     /**
      * Starts the proxy.
      *
+     * @param listening socket on the address for callers
      * @param loops an event loop group with one loop
      * @param registry takes the counters
-     * @throws IOException if an address is taken
+     * @throws IOException if the socket cannot be used
      */
     public StatementProxyNode(
-            StatementProxySettings settings, EventLoopGroup loops, PrometheusRegistry registry)
+            StatementProxySettings settings,
+            ServerSocketChannel listening,
+            EventLoopGroup loops,
+            PrometheusRegistry registry)
             throws IOException {
+        LOG.info(
+                "event=start role=statement-proxy name={} domain={} callers={} probe={} seeds={}",
+                settings.name(),
+                settings.failureDomain(),
+                settings.statementAddress(),
+                settings.readinessAddress(),
+                settings.seeds());
         this.settings = settings;
         this.loop = loops.next();
         String host = settings.statementAddress().ip().getHostAddress();
@@ -79,9 +91,7 @@
                         new TransportMetrics(registry),
                         new Random());
         directory.start(peers);
-        server =
-                new StatementServer(
-                        loops, host, settings.statementAddress().port(), engine::accept);
+        server = new StatementServer(loops, listening, engine::accept);
         long tick = SessionEngine.tickNanos();
         loop.scheduleAtFixedRate(this::tick, 0, tick, TimeUnit.NANOSECONDS);
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
@@ -31,11 +31,16 @@
      * Creates a node from its durable state.
      *
      * @param random seeded source of election deadlines
+     * @param quietSince time since which no process of this member can have answered a leader
      * @param now current time in nanoseconds of the process's monotonic clock
      */
     public ConsensusNode(
-            Recovered recovered, ConsensusSettings settings, RandomGenerator random, long now) {
-        state = new NodeState(recovered, settings, random, now);
+            Recovered recovered,
+            ConsensusSettings settings,
+            RandomGenerator random,
+            long quietSince,
+            long now) {
+        state = new NodeState(recovered, settings, random, quietSince, now);
         election = new Election(state);
         follower = new FollowerReplication(state);
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/NodeState.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/NodeState.java
@@ -37,7 +37,12 @@
     long snapshotWanted;
     private long bytesSinceSnapshot;
 
-    NodeState(Recovered recovered, ConsensusSettings settings, RandomGenerator random, long now) {
+    NodeState(
+            Recovered recovered,
+            ConsensusSettings settings,
+            RandomGenerator random,
+            long quietSince,
+            long now) {
         this.self = recovered.identity();
         this.settings = settings;
         this.random = random;
@@ -50,9 +55,12 @@
         commitIndex = log.baseIndex();
         appliedIndex = log.baseIndex();
         syncedIndex = log.lastIndex();
-        // A restarted node forgets when it last heard the leader, whose lease may still be valid.
-        leaderContactAt = now;
-        resetElectionDeadline();
+        // A restarted node forgets when it last heard the leader, whose lease may still be valid,
+        // but its former process can have heard nothing after this one started.
+        leaderContactAt = quietSince;
+        long earliest = Math.max(now, quietSince + settings.electionMin());
+        electionDeadline =
+                earliest + random.nextLong(settings.electionMax() - settings.electionMin() + 1);
     }
 
     void emit(ConsensusAction action) {
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ReplicatedLog.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ReplicatedLog.java
@@ -53,6 +53,8 @@
      * @param incarnations source of random incarnations for an empty folder; not the seeded one
      * @param machine state machine without state
      * @param random seeded source of election deadlines
+     * @param quietSince time since which no process of this member can have answered a leader: the
+     *     start of this process, or the present if the log was open in it before
      * @param now current time in nanoseconds of the process's monotonic clock
      * @return the log, or an error that names the file, the offset and the remedy
      */
@@ -64,6 +66,7 @@
             ConsensusSettings settings,
             StateMachine machine,
             RandomGenerator random,
+            long quietSince,
             long now) {
         return DurableLog.open(storage, nodeId, incarnations, logSettings)
                 .map(
@@ -72,7 +75,8 @@
                                     new ConsensusStorageDriver(opened.log(), machine);
                             opened.recovered().snapshot().forEach(driver::restore);
                             ConsensusNode node =
-                                    new ConsensusNode(opened.recovered(), settings, random, now);
+                                    new ConsensusNode(
+                                            opened.recovered(), settings, random, quietSince, now);
                             return new ReplicatedLog(
                                     opened.log(), node, driver, opened.recovered().notices());
                         });
--- a/core/src/test/java/org/ragwortmoor/coordination/consensus/CommitCost.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/consensus/CommitCost.java
@@ -43,6 +43,7 @@
                             empty,
                             ConsensusSettings.defaults(members),
                             new SplittableRandom(i),
+                            now,
                             now));
         }
         while (nodes.stream().noneMatch(n -> n.leaderReady(now))) {
--- a/core/src/test/java/org/ragwortmoor/coordination/consensus/ConsensusNodeTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/consensus/ConsensusNodeTest.java
@@ -28,9 +28,9 @@
     private static final MemberId OLD_B = new MemberId("b", 99);
 
     private long now = 1000 * MS;
-    private final ConsensusNode node = node();
+    private final ConsensusNode node = node(now);
 
-    private ConsensusNode node() {
+    private ConsensusNode node(long quietSince) {
         Configuration configuration =
                 new Configuration(
                         List.of(
@@ -49,6 +49,7 @@
                 new Recovered(A, new Vote(2, Option.none()), Option.none(), entries, List.of()),
                 ConsensusSettings.defaults(Map.of("a", "1", "b", "2", "c", "3")),
                 new SplittableRandom(1),
+                quietSince,
                 now);
     }
 
@@ -134,6 +135,21 @@
         assertThat(granted(receive(request))).isTrue();
     }
 
+    /** Guards against waiting for a lease that ended while the process was starting. */
+    @Test
+    void theTimeOfAStartCountsAsQuiet() {
+        ConsensusNode slow = node(now - 450 * MS);
+        assertThat(slow.nextDeadline()).isBetween(now + 50 * MS, now + 450 * MS);
+        ConsensusNode slower = node(now - 5_000 * MS);
+        assertThat(slower.nextDeadline()).isBetween(now, now + 400 * MS);
+        ConsensusMessage request =
+                new ConsensusMessage.VoteRequest(B, A, 9, false, false, 9, 8, List.of());
+        now += 49 * MS;
+        assertThat(granted(slow.handle(new ConsensusEvent.Received(request), now))).isFalse();
+        now += MS;
+        assertThat(granted(slow.handle(new ConsensusEvent.Received(request), now))).isTrue();
+    }
+
     /** Guards against two votes in one term and against a vote sent before it is saved. */
     @Test
     void voteIsSavedFirstAndGivenOnce() {
--- a/core/src/test/java/org/ragwortmoor/coordination/consensus/VirtualGroup.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/consensus/VirtualGroup.java
@@ -88,6 +88,7 @@
                                     settings,
                                     this,
                                     random.split(),
+                                    now,
                                     now)
                             .getOrElseThrow(e -> new IllegalStateException(e.message()));
         }
