--- a/core/src/test/java/org/ragwortmoor/coordination/session/Caller.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/Caller.java
@@ -12,10 +12,12 @@
     private final VirtualHost host;
     private final CallerSession session;
     private boolean closed;
+    private final int number;
     private int ids;
 
     Caller(VirtualHost host, SessionEngine engine, String database) {
         this.host = host;
+        number = host.nextNumber();
         session = engine.accept(this);
         session.received(StatementMessage.of(MessageKind.CONNECT, database, "caller"));
     }
@@ -28,10 +30,16 @@
         return closed;
     }
 
+    /** Returns the id of the next statement. */
+    String nextId() {
+        return "q" + (ids + 1) + "-" + number;
+    }
+
     /** Sends a statement without waiting and returns its id. */
     String send(String text) {
         received.clear();
-        String id = "q" + ++ids + System.identityHashCode(this);
+        String id = nextId();
+        ids++;
         session.received(StatementMessage.of(MessageKind.QUERY, id, text));
         return id;
     }
--- a/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
@@ -19,6 +19,7 @@
     private final ServerRecord record;
     private final List<Session> sessions = new ArrayList<>();
     private final List<String> ran = new ArrayList<>();
+    private RunListener listener = (server, id, text, position, committed) -> {};
     private boolean leads;
     private boolean dark;
     private boolean refuses;
@@ -46,6 +47,22 @@
         host.add(this);
     }
 
+    /** Hears of every statement that runs. */
+    interface RunListener {
+        /**
+         * A statement has run.
+         *
+         * @param position the log's position before the statement
+         * @param committed the position that it committed, or null
+         */
+        void ran(FakeServer server, String id, String text, Position position, Position committed);
+    }
+
+    FakeServer listen(RunListener heard) {
+        listener = heard;
+        return this;
+    }
+
     ServerRecord record() {
         return record;
     }
@@ -99,6 +116,16 @@
         return this;
     }
 
+    /** The process is up again. */
+    FakeServer restart() {
+        refuses = false;
+        return this;
+    }
+
+    boolean leads() {
+        return leads;
+    }
+
     /** Runs the next statements and loses their answers. */
     FakeServer lose(int answers) {
         losing = answers;
@@ -224,7 +251,12 @@
                 error("READONLY");
                 return;
             }
+            if (words[0].equals("COMMIT") && wrote && !leads) {
+                error("READONLY");
+                return;
+            }
             ran.add(id + " " + text + " " + values);
+            Position before = position;
             if (words[0].equals("COMMIT")) {
                 state = "I";
                 if (wrote) {
@@ -235,6 +267,8 @@
                 position = new Position(position.term(), position.index() + 1);
             }
             wrote |= writes && state.equals("T");
+            listener.ran(
+                    FakeServer.this, id, text, before, before.equals(position) ? null : position);
             if (losing > 0) {
                 losing--;
                 return;
--- a/core/src/test/java/org/ragwortmoor/coordination/session/VirtualHost.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/VirtualHost.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.statement.StatementMessage;
@@ -17,6 +18,7 @@
     private long now = 1_000_000_000L;
     private long order;
     private long suspendedMillis;
+    private int numbers;
 
     private record Task(long at, long order, Runnable run, boolean[] cancelled)
             implements Comparable<Task> {
@@ -30,6 +32,11 @@
         servers.put(server.record().address(), server);
     }
 
+    /** Returns another number at each call. */
+    int nextNumber() {
+        return ++numbers;
+    }
+
     /** The machine sleeps: the time of day goes on, the monotonic clock does not. */
     void suspend(long millis) {
         suspendedMillis += millis;
@@ -76,23 +83,66 @@
 
     @Override
     public ServerLink connect(ServerRecord record, ServerLinkListener listener) {
-        Connection connection = new Connection(listener);
+        return connect(record, listener, Set.of());
+    }
+
+    private ServerLink connect(
+            ServerRecord record, ServerLinkListener listener, Set<String> unreachable) {
+        Connection connection = new Connection(record.address(), listener, unreachable);
         hop(() -> connection.arrive(servers.get(record.address())));
         return connection;
     }
 
+    /**
+     * Returns a host for one more proxy.
+     *
+     * @param unreachable addresses of the servers that this proxy is cut off from; may change
+     */
+    SessionHost proxy(Set<String> unreachable) {
+        VirtualHost shared = this;
+        return new SessionHost() {
+            @Override
+            public long now() {
+                return shared.now();
+            }
+
+            @Override
+            public long wallMillis() {
+                return shared.wallMillis();
+            }
+
+            @Override
+            public Timer schedule(long deadline, Runnable task) {
+                return shared.schedule(deadline, task);
+            }
+
+            @Override
+            public ServerLink connect(ServerRecord record, ServerLinkListener listener) {
+                return shared.connect(record, listener, unreachable);
+            }
+        };
+    }
+
     /** A connection between the engine and a fake server. */
     final class Connection implements ServerLink {
+        private final String address;
         private final ServerLinkListener listener;
+        private final Set<String> unreachable;
         private FakeServer.Session session;
         private boolean closed;
 
-        Connection(ServerLinkListener listener) {
+        Connection(String address, ServerLinkListener listener, Set<String> unreachable) {
+            this.address = address;
             this.listener = listener;
+            this.unreachable = unreachable;
+        }
+
+        private boolean cut() {
+            return unreachable.contains(address);
         }
 
         private void arrive(FakeServer server) {
-            if (server != null && server.dark()) {
+            if (cut() || (server != null && server.dark())) {
                 return;
             }
             if (server == null || server.refuses()) {
@@ -114,7 +164,7 @@
         void deliver(StatementMessage message) {
             hop(
                     () -> {
-                        if (!closed) {
+                        if (!closed && !cut()) {
                             listener.received(message);
                         }
                     });
@@ -122,7 +172,7 @@
 
         @Override
         public void send(List<StatementMessage> messages) {
-            if (!closed) {
+            if (!closed && !cut()) {
                 hop(() -> messages.forEach(session::received));
             }
         }
