--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -87,13 +87,7 @@
             PromotionCaller promotions,
             PrometheusRegistry registry)
             throws IOException {
-        LOG.info(
-                "event=start role=directory domain={} control={} seeds={} bootstrap={} folder={}",
-                settings.failureDomain(),
-                settings.controlAddress(),
-                settings.seeds(),
-                settings.bootstrap(),
-                settings.dataFolder());
+        LOG.info("event=start role=directory {}", settings.summary());
         this.settings = settings;
         this.addresses = new MemberAddresses(settings.peerPort());
         this.loop = loops.next();
--- a/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -114,6 +114,17 @@
         seeds = List.copyOf(seeds);
     }
 
+    /** Returns what tells the process apart, for its log; the text of a record starts slowly. */
+    String summary() {
+        return String.join(
+                " ",
+                "domain=" + failureDomain,
+                "control=" + controlAddress,
+                "seeds=" + seeds,
+                "bootstrap=" + bootstrap,
+                "folder=" + dataFolder);
+    }
+
     private static DirectorySettings of(SettingValues values) {
         return new DirectorySettings(
                 values.value(DOMAIN),
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -60,13 +60,7 @@
             EventLoopGroup loops,
             PrometheusRegistry registry)
             throws IOException {
-        LOG.info(
-                "event=start role=statement-proxy name={} domain={} callers={} probe={} seeds={}",
-                settings.name(),
-                settings.failureDomain(),
-                settings.statementAddress(),
-                settings.readinessAddress(),
-                settings.seeds());
+        LOG.info("event=start role=statement-proxy {}", settings.summary());
         this.settings = settings;
         this.loop = loops.next();
         String host = settings.statementAddress().ip().getHostAddress();
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -66,6 +66,17 @@
         seeds = List.copyOf(seeds);
     }
 
+    /** Returns what tells the process apart, for its log; the text of a record starts slowly. */
+    String summary() {
+        return String.join(
+                " ",
+                "name=" + name,
+                "domain=" + failureDomain,
+                "callers=" + statementAddress,
+                "probe=" + readinessAddress,
+                "seeds=" + seeds);
+    }
+
     private static StatementProxySettings of(SettingValues values) {
         return new StatementProxySettings(
                 values.value(NAME),
--- a/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
@@ -122,10 +122,6 @@
         return this;
     }
 
-    boolean leads() {
-        return leads;
-    }
-
     /** Runs the next statements and loses their answers. */
     FakeServer lose(int answers) {
         losing = answers;
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionHistory.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionHistory.java
@@ -95,10 +95,6 @@
         acknowledged.removeIf(commit -> commit.position().compareTo(kept) > 0);
     }
 
-    int acknowledgedCount() {
-        return acknowledged.size();
-    }
-
     /** Returns what did not hold, when nothing runs any more. */
     List<String> problems() {
         List<String> found = new ArrayList<>(problems);
