--- a/app/src/main/java/org/ragwortmoor/settings/Address.java
+++ b/app/src/main/java/org/ragwortmoor/settings/Address.java
@@ -15,7 +15,6 @@
  */
 public record Address(InetAddress ip, int port) {
     private static final int MAX_PORT = 65_535;
-    private static final int MAX_DIGITS = 5;
     private static final int MAX_BYTE = 255;
     private static final int IPV4_BYTES = 4;
 
@@ -32,19 +31,17 @@
         }
         String host = text.substring(0, colon);
         boolean bracketed = host.startsWith("[") && host.endsWith("]");
-        String number = bracketed ? host.substring(1, host.length() - 1) : host;
-        InetAddress ip =
-                bracketed == number.contains(":")
-                        ? bracketed
-                                ? NetUtil.createInetAddressFromIpAddressString(number)
-                                : ipv4(number)
-                        : null;
+        InetAddress ip = bracketed ? ipv6(host.substring(1, host.length() - 1)) : ipv4(host);
         if (ip == null) {
             return Either.left("'" + host + "' is no IP number");
         }
         return port(text.substring(colon + 1)).map(port -> new Address(ip, port));
     }
 
+    private static InetAddress ipv6(String text) {
+        return text.contains(":") ? NetUtil.createInetAddressFromIpAddressString(text) : null;
+    }
+
     /** Reads an IPv4 number without the network library, whose setup takes part of a start. */
     private static InetAddress ipv4(String text) {
         String[] parts = text.split("\\.", -1);
@@ -53,7 +50,7 @@
             return null;
         }
         for (int i = 0; i < IPV4_BYTES; i++) {
-            int value = digits(parts[i], MAX_BYTE);
+            int value = decimal(parts[i], MAX_BYTE);
             if (value < 0) {
                 return null;
             }
@@ -66,9 +63,9 @@
         }
     }
 
-    /** Returns a decimal number of at most {@code largest}, or -1. */
-    private static int digits(String text, int largest) {
-        boolean digits = !text.isEmpty() && text.length() <= MAX_DIGITS;
+    /** Returns a decimal number of at most {@code largest} and no more digits, or -1. */
+    private static int decimal(String text, int largest) {
+        boolean digits = !text.isEmpty() && text.length() <= Integer.toString(largest).length();
         for (int i = 0; i < text.length(); i++) {
             digits &= text.charAt(i) >= '0' && text.charAt(i) <= '9';
         }
@@ -77,7 +74,7 @@
     }
 
     private static Either<String, Integer> port(String text) {
-        int port = digits(text, MAX_PORT);
+        int port = decimal(text, MAX_PORT);
         return port >= 0 ? Either.right(port) : Either.left("'" + text + "' is no port");
     }
 
