--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
@@ -2,9 +2,13 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ragwortmoor.coordination.session.DirectoryView;
@@ -44,6 +48,9 @@
     /** Minimum interval between urgent reports. */
     private static final long URGENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
+    /** Number of reports whose answers are still accepted; an answer takes a round trip. */
+    private static final int MAX_UNANSWERED_REPORTS = 16;
+
     /**
      * Assumed number of proxies that share a server until the directory reports the number. It
      * exceeds the 7 of the usual installation.
@@ -62,6 +69,9 @@
     private String leader = "";
     private long lastUpdateAt = System.nanoTime();
     private long lastReportAt = lastUpdateAt - REPORT_INTERVAL_NANOS;
+    private final long incarnation = ThreadLocalRandom.current().nextLong();
+    private final Map<Long, SessionEngine.LeaseAnswer> unansweredReports = new LinkedHashMap<>();
+    private long nextReportId = 1;
     private int proxies;
     private boolean lastReportUrgent;
 
@@ -94,10 +104,7 @@
     /** Sends a report if one is due. */
     void tick() {
         long now = System.nanoTime();
-        List<SessionEngine.PrimaryObservation> observations = engine.observations();
-        boolean urgent =
-                observations.stream()
-                        .anyMatch(o -> o.silentNanos() >= URGENT_SILENCE_NANOS || o.refused());
+        boolean urgent = engine.reportUrgent(URGENT_SILENCE_NANOS);
         // A primary that responds again is also reported without delay.
         boolean sendSoon = urgent || lastReportUrgent || leader.isEmpty();
         if (now - lastReportAt < (sendSoon ? URGENT_INTERVAL_NANOS : REPORT_INTERVAL_NANOS)) {
@@ -105,7 +112,7 @@
         }
         lastReportUrgent = urgent;
         lastReportAt = now;
-        PeerBody report = ProxyRegistry.toBody(message(observations));
+        PeerBody report = ProxyRegistry.toBody(nextReport(now));
         if (!leader.isEmpty() && now - lastUpdateAt >= LEADER_TIMEOUT_NANOS) {
             LOG.warn("event=directory_lost leader={} view={}", leader, revisions());
             leader = "";
@@ -119,10 +126,14 @@
         targets.forEach(address -> peers.send(address, report));
     }
 
-    private DirectoryMessage message(List<SessionEngine.PrimaryObservation> observations) {
+    private DirectoryMessage nextReport(long now) {
+        long id = nextReportId++;
+        List<SessionEngine.PrimaryObservation> observations = engine.observations(id);
         NodeReportMessage.Builder report =
                 NodeReportMessage.newBuilder()
                         .setProxy(self)
+                        .setIncarnation(incarnation)
+                        .setId(id)
                         .setRoutesRevision(engine.view().routesRevision())
                         .setServersRevision(engine.view().serversRevision());
         for (SessionEngine.PrimaryObservation observation : observations) {
@@ -132,11 +143,26 @@
                             .setServer(observation.server())
                             .setSilentMillis(
                                     (int) TimeUnit.NANOSECONDS.toMillis(observation.silentNanos()))
-                            .setRefused(observation.refused()));
+                            .setRefused(observation.refused())
+                            .setHoldsLease(observation.holdsLease())
+                            .setNeedsLease(observation.needsLease()));
         }
+        recordUnanswered(id, now, observations);
         return DirectoryMessage.newBuilder().setReport(report).build();
     }
 
+    private void recordUnanswered(
+            long id, long now, List<SessionEngine.PrimaryObservation> observations) {
+        Map<String, String> requested = new HashMap<>();
+        observations.stream()
+                .filter(SessionEngine.PrimaryObservation::needsLease)
+                .forEach(o -> requested.put(o.group(), o.server()));
+        unansweredReports.put(
+                id,
+                new SessionEngine.LeaseAnswer(id, now, engine.clockOffsetMillis(), requested, 0));
+        unansweredReports.keySet().removeIf(old -> old <= id - MAX_UNANSWERED_REPORTS);
+    }
+
     @Override
     public void received(PeerEnvelope message, Reply reply) {
         LOG.warn("event=message_ignored sender={}", message.sender());
@@ -172,7 +198,22 @@
         if (update.getProxies() > 0) {
             proxies = update.getProxies();
         }
+        engine.setLeasesRequired(update.getLeaseMillis() > 0);
         mergedView(update).forEach(viewListener);
+        applyLeases(update);
+    }
+
+    private void applyLeases(DirectoryUpdateMessage update) {
+        Set<String> withheld = Set.copyOf(update.getWithheldGroupsList());
+        SessionEngine.LeaseAnswer report = unansweredReports.remove(update.getReportId());
+        // The leases are for the primaries of the directory's state at the time of the answer.
+        boolean sameServers = engine.view().serversRevision() == update.getServersRevision();
+        if (report == null || !sameServers) {
+            engine.withholdLeases(withheld);
+            return;
+        }
+        long nanos = TimeUnit.MILLISECONDS.toNanos(update.getLeaseMillis());
+        engine.grantLeases(report.withDuration(nanos), withheld);
     }
 
     private void replaceMembers(Set<String> changed) {
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryLog.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryLog.java
@@ -54,6 +54,8 @@
     private final DirectoryStateMachine machine;
     private final Listener listener;
     private final Map<Long, PendingProposal> pendingProposals = new HashMap<>();
+    private final SuspensionDetector suspensionDetector =
+            new SuspensionDetector(System.nanoTime(), System.currentTimeMillis());
     private Position lastApplied = Position.ZERO;
 
     /** Receives messages to send, leadership changes and applied commands. */
@@ -169,8 +171,16 @@
         return machine.state();
     }
 
+    /**
+     * Returns whether this process leads and no other process can have been elected. After a
+     * suspension it leads again only once a majority has answered a later message.
+     */
     boolean leads() {
-        return log.leaderReady(System.nanoTime());
+        long now = System.nanoTime();
+        long contactAt = log.node().quorumContactAt().getOrElse(now);
+        boolean running =
+                suspensionDetector.runningSince(contactAt, now, System.currentTimeMillis());
+        return running && log.leaderReady(now);
     }
 
     /** Passes an event to the log and performs the resulting actions. */
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -16,13 +16,11 @@
 import java.util.function.Consumer;
 import org.ragwortmoor.coordination.consensus.ConsensusAction;
 import org.ragwortmoor.coordination.consensus.ConsensusEvent;
-import org.ragwortmoor.coordination.directory.FailoverAction;
 import org.ragwortmoor.protocol.ConsensusCodec;
 import org.ragwortmoor.protocol.DirectoryCodec;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerEnvelope;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
-import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
 import org.ragwortmoor.protocol.wire.JoinMessage;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.state.directory.DirectoryCommand;
@@ -63,13 +61,11 @@
     private final PeerClient peers;
     private final PeerServer server;
     private final DirectoryRequests requests;
-    private final ProxyRegistry proxies = new ProxyRegistry();
-    private final PromotionExecutor promotionExecutor;
+    private final LeaderDuties leaderDuties;
     private final MembershipManager membership;
     private DirectoryLog log;
     private boolean leading;
     private boolean closed;
-    private int proposedProxyCount = -1;
 
     /**
      * Starts the process.
@@ -98,13 +94,9 @@
         String self = settings.controlAddress().toString();
         peers = new PeerClient(transport, self, loop, listener, metrics, new Random());
         membership = new MembershipManager(settings, addresses, peers);
-        promotionExecutor =
-                new PromotionExecutor(
-                        self,
-                        new StatementClient(loops, host),
-                        promotions,
-                        loop,
-                        this::proposeOrder);
+        leaderDuties =
+                new LeaderDuties(
+                        this, settings, new StatementClient(loops, host), promotions, loop);
         server = new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
         loop.execute(() -> open(start.at()));
         loop.scheduleAtFixedRate(
@@ -165,7 +157,7 @@
             lines.addAll(log.log().dump(System.nanoTime()).lines().toList());
             lines.add("routes version=" + log.state().routes().version());
             log.state().servers().values().forEach(s -> lines.add(s.toString()));
-            lines.addAll(promotionExecutor.dump());
+            lines.addAll(leaderDuties.dump());
         }
         return lines;
     }
@@ -179,6 +171,10 @@
     }
 
     void propose(DirectoryCommand command, Consumer<Boolean> done) {
+        if (log == null) {
+            done.accept(false);
+            return;
+        }
         log.propose(command, done);
     }
 
@@ -208,8 +204,7 @@
             updateLeadership();
             if (leading) {
                 membership.nextChange(log.log().status(now)).forEach(log::proposeMembershipChange);
-                promotionExecutor.tick(state(), now);
-                countProxies(now);
+                leaderDuties.tick(now);
             } else {
                 membership.requestJoinIfNeeded(log.log(), now);
             }
@@ -219,17 +214,6 @@
         }
     }
 
-    private void countProxies(long now) {
-        for (int count : proxies.changedCount(state().proxies(), now)) {
-            if (count != proposedProxyCount) {
-                proposedProxyCount = count;
-                LOG.info("event=proxies_counted count={} before={}", count, state().proxies());
-                log.propose(
-                        new DirectoryCommand.CountProxies(count), done -> proposedProxyCount = -1);
-            }
-        }
-    }
-
     private void reopen() {
         LOG.warn("event=storage_failed reason=\"{}\"", log.log().failure().get().message());
         log.close();
@@ -247,30 +231,14 @@
         leading = nowLeading;
         LOG.info("event={} term={}", leading ? "leading" : "not_leading", log.log().node().term());
         if (leading) {
-            long now = System.nanoTime();
             membership.reset();
-            promotionExecutor.reset(now);
-            proxies.elected(state(), memberAddresses(), now);
+            leaderDuties.elected(System.nanoTime());
         }
     }
 
-    private List<String> memberAddresses() {
-        return log == null
-                ? List.of()
-                : log.log().node().configuration().members().stream().map(Member::address).toList();
-    }
-
-    private void proposeOrder(FailoverAction.OrderPromotion order) {
-        String self = settings.controlAddress().toString();
-        log.propose(
-                new DirectoryCommand.OrderPromotion(order.group(), order.server(), self),
-                done -> {});
-    }
-
-    private void pushUpdates() {
-        if (leading) {
-            proxies.pushUpdates(state(), memberAddresses());
-        }
+    /** Returns the members of the control group, as far as this process knows. */
+    List<Member> members() {
+        return log == null ? List.of() : log.log().node().configuration().members();
     }
 
     private final class LogListener implements DirectoryLog.Listener {
@@ -294,13 +262,9 @@
 
         @Override
         public void applied(DirectoryCommand command, long index) {
-            String self = settings.controlAddress().toString();
-            if (command instanceof DirectoryCommand.OrderPromotion order
-                    && leading
-                    && order.holder().equals(self)) {
-                promotionExecutor.orderCommitted(order.group(), order.server(), index);
+            if (leading) {
+                leaderDuties.applied(command, index);
             }
-            pushUpdates();
         }
     }
 
@@ -345,21 +309,11 @@
         }
 
         private void report(NodeReportMessage report, Reply reply) {
-            long now = System.nanoTime();
-            if (!leading) {
-                proxies.recordEarlyReport(report, reply, now);
-                DirectoryUpdateMessage members =
-                        DirectoryUpdateMessage.newBuilder()
-                                .addAllMembers(memberAddresses())
-                                .build();
-                reply.send(
-                        ProxyRegistry.toBody(
-                                DirectoryMessage.newBuilder().setUpdate(members).build()));
-                return;
+            if (leading) {
+                leaderDuties.report(report, reply);
+            } else {
+                leaderDuties.redirect(report, reply);
             }
-            proxies.recordReport(report, reply, now);
-            promotionExecutor.recordObservations(report, now);
-            proxies.sendUpdate(report.getProxy(), state(), memberAddresses());
         }
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -23,6 +23,9 @@
  * @param dataFolder folder for durable state
  * @param promotionAddress address of the interface that promotes servers; empty to disable
  *     promotions
+ * @param platformFencing whether the platform deposes a replaced primary and checks fencing tokens
+ * @param primaryLeaseMillis duration of a proxy's lease on a primary, where the platform does not
+ *     fence
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
  */
 public record DirectorySettings(
@@ -33,6 +36,8 @@
         boolean bootstrap,
         Path dataFolder,
         String promotionAddress,
+        boolean platformFencing,
+        long primaryLeaseMillis,
         String metricsAddress) {
     /** Addresses separated by commas; may be empty. */
     static final ValueType<List<String>> SEEDS =
@@ -42,6 +47,10 @@
     static final ValueType<Boolean> FLAG =
             new ValueType<>("true or false", text -> Either.right(text.equals("true")));
 
+    /** {@code true} or {@code false}; any other text is refused. */
+    static final ValueType<Boolean> SWITCH =
+            new ValueType<>("true or false", DirectorySettings::parseSwitch);
+
     /** Any text, including an empty one. */
     static final ValueType<String> TEXT = new ValueType<>("a text", Either::right);
 
@@ -84,6 +93,23 @@
                     "",
                     "Promotions of servers are ordered here; without it none are.");
 
+    private static final Setting<Boolean> FENCING =
+            Setting.of(
+                    "platform-fencing",
+                    SWITCH,
+                    "",
+                    "false",
+                    "Whether the platform deposes a replaced primary and checks fencing tokens; if"
+                            + " not, proxies need leases on primaries.");
+    private static final Setting<Long> PRIMARY_LEASE =
+            Setting.of(
+                    "primary-lease",
+                    ValueTypes.number(500, 30_000),
+                    "ms",
+                    "3000",
+                    "A promotion waits this long for proxies that cannot be reached; without"
+                            + " control, writes stop after it.");
+
     /** Address that serves metrics and the state dump. */
     static final Setting<String> METRICS =
             Setting.of(
@@ -106,6 +132,8 @@
                             BOOTSTRAP,
                             DATA,
                             PROMOTION,
+                            FENCING,
+                            PRIMARY_LEASE,
                             METRICS),
                     DirectorySettings::of,
                     settings -> List.of());
@@ -138,9 +166,19 @@
                 values.value(BOOTSTRAP),
                 values.value(DATA),
                 values.value(PROMOTION),
+                values.value(FENCING),
+                values.value(PRIMARY_LEASE),
                 values.value(METRICS));
     }
 
+    private static Either<String, Boolean> parseSwitch(String text) {
+        return switch (text) {
+            case "true" -> Either.right(true);
+            case "false" -> Either.right(false);
+            default -> Either.left("'" + text + "' is neither true nor false");
+        };
+    }
+
     private static Either<String, List<String>> parseAddresses(String text) {
         List<String> addresses = new ArrayList<>();
         for (String part : Arrays.asList(text.split(",", -1))) {
--- a/app/src/main/java/org/ragwortmoor/directory/PromotionClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/PromotionClient.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.directory;
 
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.ragwortmoor.coordination.directory.CallOutcome;
 import org.ragwortmoor.state.directory.Promotion;
 
@@ -8,6 +9,8 @@
 public interface PromotionClient {
     /**
      * Requests a promotion with its fencing token. If the response is lost, the outcome is unknown.
+     *
+     * @param stillValid checked immediately before the request is sent; if false, it is not sent
      */
-    CompletionStage<CallOutcome> promote(Promotion promotion);
+    CompletionStage<CallOutcome> promote(Promotion promotion, BooleanSupplier stillValid);
 }
--- a/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
+++ b/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
@@ -3,12 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.ragwortmoor.coordination.directory.CallOutcome;
 import org.ragwortmoor.coordination.directory.FailoverAction;
 import org.ragwortmoor.coordination.directory.FailoverCoordinator;
+import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.protocol.wire.PrimaryObservationMessage;
+import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
@@ -23,30 +24,50 @@
 final class PromotionExecutor {
     private static final Logger LOG = LoggerFactory.getLogger(PromotionExecutor.class);
 
-    private final FailoverCoordinator failover = new FailoverCoordinator();
+    private final FailoverCoordinator failover;
+    private final PrimaryLeaseTable leases;
     private final String self;
     private final StatementClient statements;
     private final PromotionClient promotions;
     private final EventLoop loop;
-    private final Consumer<FailoverAction.OrderPromotion> proposeOrder;
+    private final Host host;
+
+    /** What the executor needs from its process. */
+    interface Host {
+        /** Proposes a command to the replicated log. */
+        void propose(DirectoryCommand command);
+
+        /** Tells all proxies which leases are withheld. */
+        void announceWithheldLeases();
+
+        /** Returns whether this process leads the control group at this moment. */
+        boolean leads();
+    }
 
     /**
      * Creates an executor.
      *
      * @param self name of the process, recorded as holder of the promotions that it orders
-     * @param proposeOrder proposes an order to the replicated log
+     * @param leases leases of the proxies on the primaries
      */
     PromotionExecutor(
             String self,
+            PrimaryLeaseTable leases,
             StatementClient statements,
             PromotionClient promotions,
             EventLoop loop,
-            Consumer<FailoverAction.OrderPromotion> proposeOrder) {
+            Host host) {
+        this.failover = new FailoverCoordinator(leases);
+        this.leases = leases;
         this.self = self;
         this.statements = statements;
         this.promotions = promotions;
         this.loop = loop;
-        this.proposeOrder = proposeOrder;
+        this.host = host;
+    }
+
+    String self() {
+        return self;
     }
 
     void reset(long now) {
@@ -79,7 +100,7 @@
     }
 
     List<String> dump() {
-        return failover.describe();
+        return failover.describe(System.nanoTime());
     }
 
     private void execute(FailoverAction action) {
@@ -102,17 +123,36 @@
                     order.group(),
                     order.server(),
                     order.reason());
-            proposeOrder.accept(order);
+            host.propose(new DirectoryCommand.OrderPromotion(order.group(), order.server(), self));
         } else if (action instanceof FailoverAction.CallPromotion call) {
             callPlatform(call);
+        } else if (action instanceof FailoverAction.ConfirmPromotion confirmation) {
+            host.propose(
+                    new DirectoryCommand.ConfirmPromotion(
+                            confirmation.group(), confirmation.token()));
+        } else if (action instanceof FailoverAction.AnnounceWithheldLeases withheld) {
+            LOG.info(
+                    "event=leases_withheld group={} holders={}",
+                    withheld.group(),
+                    leases.holders(withheld.group(), System.nanoTime()));
+            host.announceWithheldLeases();
         } else if (action instanceof FailoverAction.ResumeReplication resume) {
             ServerSurvey.resume(statements, resume.server());
         }
     }
 
     private void callPlatform(FailoverAction.CallPromotion call) {
+        if (!host.leads()) {
+            LOG.info(
+                    "event=promotion_call_dropped group={} token={} reason=\"not the leader\"",
+                    call.group(),
+                    call.token());
+            return;
+        }
         promotions
-                .promote(new Promotion(call.group(), call.server(), self, call.token()))
+                .promote(
+                        new Promotion(call.group(), call.server(), self, call.token(), false),
+                        host::leads)
                 .whenCompleteAsync(
                         (outcome, error) -> {
                             CallOutcome result = error == null ? outcome : CallOutcome.UNKNOWN;
@@ -125,7 +165,8 @@
                                     result,
                                     String.valueOf(error));
                             failover.recordCallOutcome(
-                                    call.group(), call.token(), result, System.nanoTime());
+                                            call.group(), call.token(), result, System.nanoTime())
+                                    .forEach(this::execute);
                         },
                         loop);
     }
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
 import org.ragwortmoor.protocol.DirectoryCodec;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
@@ -16,7 +17,9 @@
 import org.ragwortmoor.state.directory.ServerState;
 import org.ragwortmoor.transport.PeerListener;
 
-/** Tracks the proxies that report to this process and sends them updates. */
+/**
+ * Tracks the proxies that report to this process, and sends them updates and leases on primaries.
+ */
 final class ProxyRegistry {
     /** Time after its last report for which a proxy is counted. */
     private static final long REPORT_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(10);
@@ -30,32 +33,71 @@
     /** Maximum age of a report that is answered if this process is elected. */
     private static final long EARLY_REPORT_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    private final PrimaryLeaseTable leases;
     private final Map<String, ProxyEntry> proxies = new HashMap<>();
     private final Map<String, ProxyEntry> earlyReports = new HashMap<>();
     private long electedAt;
     private long decreaseSince;
 
     private static final class ProxyEntry {
+        NodeReportMessage report;
         PeerListener.Reply reply;
         long routesRevision;
         long serversRevision;
         long reportedAt;
     }
 
-    /** Restarts counting after an election and sends updates to proxies that reported early. */
+    ProxyRegistry(PrimaryLeaseTable leases) {
+        this.leases = leases;
+    }
+
+    /** Restarts counting after an election and answers the proxies that reported early. */
     void elected(DirectoryState state, List<String> members, long now) {
         proxies.clear();
         electedAt = now;
         decreaseSince = now;
-        earlyReports.values().removeIf(entry -> now - entry.reportedAt > EARLY_REPORT_EXPIRY_NANOS);
-        proxies.putAll(earlyReports);
+        List<ProxyEntry> early = List.copyOf(earlyReports.values());
         earlyReports.clear();
-        proxies.values().forEach(entry -> send(entry, state, members));
+        for (ProxyEntry entry : early) {
+            if (now - entry.reportedAt <= EARLY_REPORT_EXPIRY_NANOS) {
+                answerReport(entry.report, entry.reply, state, members, now);
+            }
+        }
+    }
+
+    /**
+     * Answers a report that this process received as leader: with the changes that the proxy lacks,
+     * and with leases on the primaries that it requested.
+     */
+    void answerReport(
+            NodeReportMessage report,
+            PeerListener.Reply reply,
+            DirectoryState state,
+            List<String> members,
+            long now) {
+        ProxyEntry entry = store(proxies, report, reply, now);
+        boolean current =
+                leases.recordReport(
+                        report.getProxy(),
+                        report.getIncarnation(),
+                        report.getId(),
+                        leaseStatements(report, state),
+                        now);
+        send(entry, current ? report.getId() : 0, state, members);
     }
 
-    /** Records a report that this process received as leader. */
-    void recordReport(NodeReportMessage report, PeerListener.Reply reply, long now) {
-        store(proxies, report, reply, now);
+    private static List<PrimaryLeaseTable.LeaseStatement> leaseStatements(
+            NodeReportMessage report, DirectoryState state) {
+        return report.getPrimariesList().stream()
+                .map(
+                        o -> {
+                            boolean primary =
+                                    state.primary(o.getGroup())
+                                            .exists(p -> p.id().equals(o.getServer()));
+                            return new PrimaryLeaseTable.LeaseStatement(
+                                    o.getGroup(), o.getHoldsLease(), o.getNeedsLease() && primary);
+                        })
+                .toList();
     }
 
     /** Records a report received before an election; it is answered if this process is elected. */
@@ -63,16 +105,18 @@
         store(earlyReports, report, reply, now);
     }
 
-    private static void store(
+    private static ProxyEntry store(
             Map<String, ProxyEntry> reports,
             NodeReportMessage report,
             PeerListener.Reply reply,
             long now) {
         ProxyEntry entry = reports.computeIfAbsent(report.getProxy(), name -> new ProxyEntry());
+        entry.report = report;
         entry.reply = reply;
         entry.routesRevision = report.getRoutesRevision();
         entry.serversRevision = report.getServersRevision();
         entry.reportedAt = now;
+        return entry;
     }
 
     /**
@@ -91,12 +135,9 @@
         return Option.when(increased || decreased, proxies::size);
     }
 
-    /** Sends a proxy an update with the changes that it has not received. */
-    void sendUpdate(String proxy, DirectoryState state, List<String> members) {
-        ProxyEntry entry = proxies.get(proxy);
-        if (entry != null) {
-            send(entry, state, members);
-        }
+    /** Sends an update to every proxy, so that it learns which leases are withheld. */
+    void announceWithheldLeases(DirectoryState state, List<String> members) {
+        proxies.values().forEach(entry -> send(entry, 0, state, members));
     }
 
     /** Sends an update to every proxy that has not received the latest changes. */
@@ -104,19 +145,22 @@
         for (ProxyEntry entry : proxies.values()) {
             if (entry.routesRevision < state.routesRevision()
                     || entry.serversRevision < state.serversRevision()) {
-                send(entry, state, members);
+                send(entry, 0, state, members);
             }
         }
     }
 
-    private void send(ProxyEntry entry, DirectoryState state, List<String> members) {
+    private void send(ProxyEntry entry, long reportId, DirectoryState state, List<String> members) {
         DirectoryUpdateMessage.Builder update =
                 DirectoryUpdateMessage.newBuilder()
                         .setLeader(true)
                         .addAllMembers(members)
                         .setProxies(state.proxies())
                         .setRoutesRevision(state.routesRevision())
-                        .setServersRevision(state.serversRevision());
+                        .setServersRevision(state.serversRevision())
+                        .setReportId(reportId)
+                        .setLeaseMillis((int) leases.durationMillis())
+                        .addAllWithheldGroups(leases.withheld());
         if (entry.routesRevision < state.routesRevision()) {
             update.setRoutes(DirectoryCodec.encode(state.routes(), false));
         }
--- a/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
@@ -19,9 +19,14 @@
  * more entries in between.
  */
 final class ServerSurvey implements SessionHost.ServerLinkListener {
-    /** Index of the received position in the row that answers STATUS. */
+    /** Index of the role in the row that answers STATUS and STEPDOWN. */
+    private static final int ROLE_FIELD = 0;
+
+    /** Index of the received position in that row. */
     private static final int RECEIVED_FIELD = 2;
 
+    private static final String REPLICA_ROLE = "replica";
+
     /** Makes a primary step down if its term is lower than the term that follows. */
     private static final String STEP_DOWN = "STEPDOWN ";
 
@@ -33,6 +38,7 @@
     private final Consumer<Position> onPosition;
     private SessionHost.ServerLink link;
     private Option<Position> received = Option.none();
+    private String role = "";
     private boolean connected;
     private boolean suspended;
     private boolean finished;
@@ -58,7 +64,10 @@
         survey.link = client.connect(server.address(), survey);
     }
 
-    /** Makes a primary step down; {@code onPosition} receives its last position. */
+    /**
+     * Makes a primary step down; {@code onPosition} receives its last position once the server has
+     * confirmed that it is a replica.
+     */
     static void stepDown(
             StatementClient client, ServerRecord server, Consumer<Position> onPosition) {
         ServerSurvey survey = new ServerSurvey(server, STEP_DOWN, false, onPosition);
@@ -86,6 +95,7 @@
                 String[] fields = message.field(0).split(" ");
                 if (fields.length > RECEIVED_FIELD) {
                     received = PositionField.parse(fields[RECEIVED_FIELD]);
+                    role = fields[ROLE_FIELD];
                 }
             }
             case READY -> ready(message);
@@ -118,6 +128,11 @@
             sendQuery("SUSPEND " + (received.get().term() + 1));
             return;
         }
+        if (firstStatement.equals(STEP_DOWN) && !role.equals(REPLICA_ROLE)) {
+            LOG.info("event=step_down_unconfirmed server={} role=\"{}\"", server.id(), role);
+            finish();
+            return;
+        }
         // A server without a free slot returns no status; its applied position is a lower bound.
         Option<Position> known =
                 received.orElse(suspend ? Option.none() : PositionField.parse(message.field(1)));
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -120,15 +121,17 @@
 
     /** Returns the state as text lines, for the state dump. */
     public List<String> dump() {
-        return List.of(
+        List<String> lines = new ArrayList<>();
+        lines.add(
                 "view routes="
                         + engine.view().routes().version()
                         + " revisions="
                         + engine.view().routesRevision()
                         + "/"
-                        + engine.view().serversRevision(),
-                "sessions=" + engine.sessionCount() + " waiting=" + engine.waitingCount(),
-                "primaries=" + engine.observations());
+                        + engine.view().serversRevision());
+        lines.add("sessions=" + engine.sessionCount() + " waiting=" + engine.waitingCount());
+        lines.addAll(engine.describe());
+        return lines;
     }
 
     /**
--- a/app/src/main/java/org/ragwortmoor/transport/HttpPostClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/HttpPostClient.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /** Sends HTTP/1.1 POST requests, each on its own connection. */
 public final class HttpPostClient {
@@ -36,9 +37,18 @@
         this.timeoutMillis = timeoutMillis;
     }
 
-    /** Posts a JSON body. The result is the status code, or fails if there is no response. */
+    /**
+     * Posts a JSON body.
+     *
+     * @param stillValid checked when the connection is open; if false, nothing is sent
+     * @return the status code, or a failure if there is no response
+     */
     public CompletableFuture<Integer> post(
-            String address, String path, Map<String, String> headers, String body) {
+            String address,
+            String path,
+            Map<String, String> headers,
+            String body,
+            BooleanSupplier stillValid) {
         CompletableFuture<Integer> result = new CompletableFuture<>();
         var target = Channels.parseIpv4Address(address);
         if (target.isEmpty()) {
@@ -67,10 +77,14 @@
                 .connect(target.get())
                 .addListener(
                         (io.netty.channel.ChannelFuture done) -> {
-                            if (done.isSuccess()) {
-                                done.channel().writeAndFlush(request(address, path, headers, body));
-                            } else {
+                            if (!done.isSuccess()) {
                                 result.completeExceptionally(done.cause());
+                            } else if (!stillValid.getAsBoolean()) {
+                                result.completeExceptionally(
+                                        new IOException("the request is no longer valid"));
+                                done.channel().close();
+                            } else {
+                                done.channel().writeAndFlush(request(address, path, headers, body));
                             }
                         });
         return result;
@@ -114,6 +128,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A reset discards what a partition has held up, so that it cannot arrive later.
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
             result.completeExceptionally(cause);
             context.close();
         }
--- a/app/src/test/java/org/ragwortmoor/directory/ProxyRegistryTest.java
+++ b/app/src/test/java/org/ragwortmoor/directory/ProxyRegistryTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.state.directory.DirectoryState;
@@ -17,13 +18,17 @@
 class ProxyRegistryTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final ProxyRegistry registry = new ProxyRegistry();
+    private final ProxyRegistry registry = new ProxyRegistry(new PrimaryLeaseTable(0));
     private long now = SECOND;
 
     private void report(int proxies) {
         for (int i = 0; i < proxies; i++) {
-            registry.recordReport(
-                    NodeReportMessage.newBuilder().setProxy("p" + i).build(), body -> {}, now);
+            registry.answerReport(
+                    NodeReportMessage.newBuilder().setProxy("p" + i).build(),
+                    body -> {},
+                    DirectoryState.EMPTY,
+                    List.of(),
+                    now);
         }
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
@@ -3,7 +3,6 @@
 import com.google.protobuf.ByteString;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -107,6 +106,14 @@
                         l -> l.leaseValid(now) && state.appliedIndex >= l.firstIndex());
     }
 
+    /**
+     * Returns the latest time for which a majority has answered messages that this node sent as
+     * leader at or after it; none if this node does not lead.
+     */
+    public Option<Long> quorumContactAt() {
+        return leadership.filter(l -> state.role == Role.LEADER).map(Leadership::quorumContactAt);
+    }
+
     /** Returns the node's role. */
     public Role role() {
         return state.role;
@@ -144,14 +151,6 @@
 
     /** Returns this node's view of the group. */
     public ClusterStatus status(long now) {
-        Map<MemberId, ClusterStatus.MemberProgress> progress = new HashMap<>();
-        for (Leadership current : leadership) {
-            for (Progress peer : current.peers()) {
-                progress.put(
-                        peer.id,
-                        new ClusterStatus.MemberProgress(peer.matchIndex, peer.lastContactAt()));
-            }
-        }
         return new ClusterStatus(
                 now,
                 leaderReady(now),
@@ -159,7 +158,7 @@
                 state.log.configuration(),
                 state.log.configurationIndex() <= state.commitIndex,
                 state.commitIndex,
-                progress,
+                leadership.map(Leadership::progress).getOrElse(Map.of()),
                 election.nonMembers());
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/Leadership.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/Leadership.java
@@ -3,8 +3,8 @@
 import com.google.protobuf.ByteString;
 import io.vavr.control.Option;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -80,8 +80,15 @@
         transferDeadline = Option.some(state.now + state.settings.electionMax());
     }
 
-    Collection<Progress> peers() {
-        return peers.values();
+    /** Returns the replication progress of the other members. */
+    Map<MemberId, ClusterStatus.MemberProgress> progress() {
+        Map<MemberId, ClusterStatus.MemberProgress> progress = new HashMap<>();
+        for (Progress peer : peers.values()) {
+            progress.put(
+                    peer.id,
+                    new ClusterStatus.MemberProgress(peer.matchIndex, peer.lastContactAt()));
+        }
+        return progress;
     }
 
     Option<Progress> peer(MemberId id) {
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
@@ -16,6 +16,12 @@
     /** Calls the platform to promote a server, with the fencing token of the committed order. */
     record CallPromotion(String group, String server, long token) implements FailoverAction {}
 
+    /** Records in the replicated log that the platform has confirmed a promotion. */
+    record ConfirmPromotion(String group, long token) implements FailoverAction {}
+
+    /** Tells all proxies at once that leases on the group's primary are withheld. */
+    record AnnounceWithheldLeases(String group) implements FailoverAction {}
+
     /** Resumes the replication of a replica that a survey suspended. */
     record ResumeReplication(ServerRecord server) implements FailoverAction {}
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
@@ -1,6 +1,5 @@
 package org.ragwortmoor.coordination.directory;
 
-import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,9 +17,22 @@
  */
 public final class FailoverCoordinator {
     private final Map<String, GroupFailover> groups = new LinkedHashMap<>();
+    private final PrimaryLeaseTable leases;
+    private long electedAt;
+
+    /**
+     * Creates a coordinator.
+     *
+     * @param leases leases of the proxies on the primaries
+     */
+    public FailoverCoordinator(PrimaryLeaseTable leases) {
+        this.leases = leases;
+    }
 
     /** Discards the state of an earlier leadership; to be called when this process is elected. */
     public void reset(long now) {
+        electedAt = now;
+        leases.elected(now);
         groups.values().forEach(g -> g.reset(now));
     }
 
@@ -55,9 +67,10 @@
         return group(group).orderCommitted(server, token, now);
     }
 
-    /** Records the platform's answer to a promotion call. */
-    public void recordCallOutcome(String group, long token, CallOutcome outcome, long now) {
-        group(group).recordCallOutcome(token, outcome, now);
+    /** Records the platform's answer to a promotion call; returns the actions that follow. */
+    public List<FailoverAction> recordCallOutcome(
+            String group, long token, CallOutcome outcome, long now) {
+        return group(group).recordCallOutcome(token, outcome, now);
     }
 
     /** Advances the failover of every group and returns the actions that are due. */
@@ -70,12 +83,17 @@
     }
 
     /** Returns one line per group, for the state dump. */
-    public List<String> describe() {
-        return groups.values().stream().map(GroupFailover::describe).toList();
+    public List<String> describe(long now) {
+        return groups.values().stream().map(g -> g.describe(now)).toList();
     }
 
     private GroupFailover group(String name) {
-        return Option.of(groups.get(name))
-                .getOrElse(() -> groups.computeIfAbsent(name, GroupFailover::new));
+        return groups.computeIfAbsent(
+                name,
+                n -> {
+                    GroupFailover created = new GroupFailover(n, leases);
+                    created.reset(electedAt);
+                    return created;
+                });
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
@@ -38,7 +38,10 @@
      * Interval between two surveys during a planned handover; replicas receive commits within a few
      * round trips.
      */
-    static final long SURVEY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+    static final long HANDOVER_SURVEY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+    /** Interval between two surveys while leases on the replaced primary are outstanding. */
+    static final long SURVEY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /** Time after which an unanswered call is repeated with the same fencing token. */
     static final long CALL_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
@@ -46,10 +49,15 @@
     /** Pause after a failed call or survey, which respects the rate limit of the platform. */
     static final long CALL_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** Time after an election in which a call of the earlier leader may still arrive. */
+    static final long PREDECESSOR_CALL_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    /** Maximum time after which the platform carries out a call that it has not answered. */
+    static final long MAX_CALL_DELAY_NANOS = TimeUnit.SECONDS.toNanos(12);
+
     /**
      * Maximum number of calls for one order before another server is chosen. A new order would
-     * invalidate a call that is merely delayed, and the platform may carry out a call up to 12 s
-     * late.
+     * invalidate a call that is merely delayed; the calls cover {@link #MAX_CALL_DELAY_NANOS}.
      */
     static final int MAX_CALLS_PER_ORDER = 16;
 
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -2,10 +2,8 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.DirectoryState;
@@ -13,8 +11,9 @@
 import org.ragwortmoor.state.directory.ServerState;
 
 /**
- * Failover of one group: surveys the log positions of the replicas, orders the promotion of the
- * most advanced one, and calls the platform until the promotion is accepted, rejected or given up.
+ * Failover of one group: surveys the log positions of the replicas, waits until no proxy may use
+ * the replaced primary any more, orders the promotion of the most advanced replica, and calls the
+ * platform until the promotion is accepted, rejected or given up.
  */
 final class GroupFailover {
     private enum Phase {
@@ -26,25 +25,29 @@
     }
 
     private final String group;
+    private final PrimaryLeaseTable leases;
     private final PrimaryFailureDetector failureDetector = new PrimaryFailureDetector();
-    private final Map<String, Position> positions = new HashMap<>();
-    private final Set<String> surveyedReplicas = new HashSet<>();
+    private final ReplicaSurvey survey = new ReplicaSurvey();
     private final Set<String> rejectedServers = new HashSet<>();
     private Phase phase = Phase.WATCHING;
     private long phaseDeadline;
     private String candidate = "";
     private String reason = "";
-    private String replacedPrimary = "";
+    private Option<ServerRecord> replacedPrimary = Option.none();
+    private Option<Position> steppedDownAt = Option.none();
     private long orderToken;
     private int callCount;
     private boolean replicationSuspended;
     private boolean plannedHandover;
     private long nextSurveyAt;
-    private Option<Position> replacedPrimaryPosition = Option.none();
+    private long nextStepDownAt;
     private Option<Long> noPrimarySince = Option.none();
+    private Option<Long> unansweredCallAt = Option.none();
+    private String unansweredCallServer = "";
 
-    GroupFailover(String group) {
+    GroupFailover(String group, PrimaryLeaseTable leases) {
         this.group = group;
+        this.leases = leases;
     }
 
     PrimaryFailureDetector failureDetector() {
@@ -55,11 +58,12 @@
     void reset(long now) {
         failureDetector.clear();
         rejectedServers.clear();
-        surveyedReplicas.clear();
         replicationSuspended = false;
         noPrimarySince = Option.none();
+        unansweredCallAt = Option.none();
         phase = Phase.WATCHING;
-        phaseDeadline = now;
+        // Without fencing by the platform, an earlier leader's call must not arrive after ours.
+        phaseDeadline = leases.required() ? now + FailoverSettings.PREDECESSOR_CALL_NANOS : now;
     }
 
     /** Advances the failover and returns the actions that are due. */
@@ -85,10 +89,20 @@
     }
 
     private List<FailoverAction> watch(DirectoryState state, int syncReplicas, long now) {
+        if (unconfirmed(state)) {
+            leases.withhold(group);
+        } else {
+            leases.resume(group);
+        }
         if (now - phaseDeadline < 0) {
             return List.of();
         }
         Option<ServerRecord> primary = state.primary(group);
+        if (unconfirmed(state) && mayPromoteAgain(primary, state, now)) {
+            // An earlier leader may have ended before its call; only the call shows the outcome.
+            reason = "the promotion is not confirmed";
+            return order(primary.get().id(), now);
+        }
         List<ServerRecord> replicas = promotableReplicas(state, primary);
         if (replicas.isEmpty()) {
             // No candidate is left; a server that was rejected may have recovered since.
@@ -96,14 +110,16 @@
             return List.of();
         }
         reason = reasonToPromote(state, primary, now);
-        if (reason.isEmpty()) {
-            return List.of();
-        }
-        replacedPrimary = primary.map(ServerRecord::id).getOrElse("");
+        return reason.isEmpty() ? List.of() : startSurvey(primary, replicas, syncReplicas, now);
+    }
+
+    private List<FailoverAction> startSurvey(
+            Option<ServerRecord> primary, List<ServerRecord> replicas, int syncReplicas, long now) {
+        leases.withhold(group);
+        replacedPrimary = primary;
         plannedHandover = primary.exists(p -> p.state() == ServerState.DRAINING);
-        replacedPrimaryPosition = Option.none();
-        positions.clear();
-        surveyedReplicas.clear();
+        steppedDownAt = Option.none();
+        survey.start(replicas);
         phase = Phase.SURVEYING;
         phaseDeadline =
                 now
@@ -111,8 +127,11 @@
                                 ? FailoverSettings.HANDOVER_TIMEOUT_NANOS
                                 : FailoverSettings.SURVEY_TIMEOUT_NANOS);
         replicationSuspended = syncReplicas > 0;
-        replicas.forEach(r -> surveyedReplicas.add(r.id()));
         List<FailoverAction> actions = new ArrayList<>();
+        if (leases.required() && !plannedHandover) {
+            actions.add(new FailoverAction.AnnounceWithheldLeases(group));
+        }
+        nextStepDownAt = now + FailoverSettings.SURVEY_INTERVAL_NANOS;
         // A primary that is still reachable for some proxies must not acknowledge commits that its
         // successor lacks.
         primary.forEach(p -> actions.add(new FailoverAction.StepDown(p)));
@@ -121,27 +140,45 @@
     }
 
     private List<FailoverAction> surveyActions(List<ServerRecord> replicas, long now) {
-        nextSurveyAt = now + FailoverSettings.SURVEY_INTERVAL_NANOS;
+        nextSurveyAt =
+                now
+                        + (plannedHandover
+                                ? FailoverSettings.HANDOVER_SURVEY_INTERVAL_NANOS
+                                : FailoverSettings.SURVEY_INTERVAL_NANOS);
         return replicas.stream()
                 .map(r -> (FailoverAction) new FailoverAction.Survey(r, replicationSuspended))
                 .toList();
     }
 
-    /** Records the last position of the primary that is being replaced. */
+    /** Records the last position of the primary that is being replaced and has stepped down. */
     void recordStepDown(String server, Position position) {
-        if (phase == Phase.SURVEYING && server.equals(replacedPrimary)) {
-            replacedPrimaryPosition = Option.some(position);
+        if (phase == Phase.SURVEYING && replacedPrimary.exists(p -> p.id().equals(server))) {
+            steppedDownAt = Option.some(position);
         }
     }
 
+    private boolean unconfirmed(DirectoryState state) {
+        return leases.required() && state.promotions().get(group).exists(p -> !p.confirmed());
+    }
+
+    private boolean mayPromoteAgain(Option<ServerRecord> primary, DirectoryState state, long now) {
+        return primary.exists(
+                        p -> p.state() == ServerState.READY && !rejectedServers.contains(p.id()))
+                && failureDetector.failureReason(state.proxies(), now).isEmpty();
+    }
+
     private String reasonToPromote(DirectoryState state, Option<ServerRecord> primary, long now) {
         if (primary.isEmpty()) {
-            return noPrimaryTimedOut(state, now) ? "the group has no primary" : "";
+            boolean ended = state.promotions().containsKey(group);
+            return ended || noPrimaryTimedOut(state, now) ? "the group has no primary" : "";
         }
         noPrimarySince = Option.none();
         if (primary.get().state() == ServerState.DRAINING) {
             return "primary " + primary.get().id() + " is draining";
         }
+        if (unconfirmed(state) && rejectedServers.contains(primary.get().id())) {
+            return "the promotion of " + primary.get().id() + " was rejected";
+        }
         return failureDetector.failureReason(state.proxies(), now);
     }
 
@@ -170,73 +207,111 @@
 
     /** Records the position of a replica; ignored unless the current survey asked for it. */
     void recordPosition(String server, Position position) {
-        if (phase == Phase.SURVEYING && surveyedReplicas.contains(server)) {
-            positions.put(server, position);
+        if (phase == Phase.SURVEYING) {
+            survey.record(server, position);
         }
     }
 
     private List<FailoverAction> survey(DirectoryState state, int syncReplicas, long now) {
-        boolean complete = positions.size() == surveyedReplicas.size();
         boolean timedOut = now - phaseDeadline >= 0;
-        if (plannedHandover && !timedOut && !handoverComplete()) {
-            return complete && now - nextSurveyAt >= 0
-                    ? surveyActions(
-                            state.members(group).stream()
-                                    .filter(s -> surveyedReplicas.contains(s.id()))
-                                    .toList(),
-                            now)
-                    : List.of();
+        boolean awaitsPositions =
+                plannedHandover
+                        ? !handoverComplete() && !timedOut
+                        : !survey.complete() && !timedOut;
+        if (awaitsPositions) {
+            return plannedHandover && survey.complete() ? repeatSurvey(state, now) : List.of();
         }
-        if (!plannedHandover && !complete && !timedOut) {
-            return List.of();
+        if (primaryMayBeInUse(state, now)) {
+            return primaryReachableAgain(state, now)
+                    ? abandon(state, now)
+                    : repeatSurvey(state, now);
         }
-        // With synchronous replication, any single replica may be the only one that holds an
-        // acknowledged commit, so all of them must have answered.
-        boolean enoughAnswers = syncReplicas == 0 ? !positions.isEmpty() : complete;
-        Option<String> best = Option.none();
-        for (Map.Entry<String, Position> entry : positions.entrySet()) {
-            boolean better =
-                    best.isEmpty() || entry.getValue().compareTo(positions.get(best.get())) > 0;
-            if (better) {
-                best = Option.some(entry.getKey());
-            }
+        Option<String> best = survey.mostAdvanced();
+        if (!survey.sufficient(syncReplicas) || best.isEmpty()) {
+            return abandon(state, now);
         }
-        phase = Phase.WATCHING;
-        phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
-        if (!enoughAnswers || best.isEmpty()) {
-            return resumeReplication(state);
+        if (delayedCallPossible(best.get(), now)) {
+            return repeatSurvey(state, now);
         }
-        candidate = best.get();
-        phase = Phase.ORDERING;
-        phaseDeadline = now + FailoverSettings.CALL_RETRY_NANOS;
-        return List.of(
-                new FailoverAction.OrderPromotion(
-                        group,
-                        candidate,
-                        reason
-                                + "; last position "
-                                + replacedPrimaryPosition.getOrNull()
-                                + "; replica positions "
-                                + positions));
+        reason += "; last position " + steppedDownAt.getOrNull() + "; replica positions " + survey;
+        return order(best.get(), now);
+    }
+
+    /** Returns whether a proxy may still acknowledge commits of the primary being replaced. */
+    private boolean primaryMayBeInUse(DirectoryState state, long now) {
+        // A primary that has restarted since it stepped down may lead again.
+        boolean sameIncarnation =
+                replacedPrimary.exists(
+                        replaced ->
+                                state.servers()
+                                        .get(replaced.id())
+                                        .exists(
+                                                s ->
+                                                        s.startedAtMillis()
+                                                                == replaced.startedAtMillis()));
+        boolean steppedDown = steppedDownAt.isDefined() && sameIncarnation;
+        return !steppedDown && leases.outstanding(group, now);
+    }
+
+    private boolean primaryReachableAgain(DirectoryState state, long now) {
+        return !plannedHandover
+                && state.primary(group).isDefined()
+                && steppedDownAt.isEmpty()
+                && failureDetector.majorityReachesLeader(state.proxies(), now);
+    }
+
+    /**
+     * Returns whether an unanswered call for another server may still be carried out. Without
+     * fencing by the platform it would depose the server that is promoted now.
+     */
+    private boolean delayedCallPossible(String server, long now) {
+        return leases.required()
+                && !server.equals(unansweredCallServer)
+                && unansweredCallAt.exists(at -> now - at < FailoverSettings.MAX_CALL_DELAY_NANOS);
+    }
+
+    /** Asks the primary to step down once more and updates the positions while waiting. */
+    private List<FailoverAction> repeatSurvey(DirectoryState state, long now) {
+        if (now - nextSurveyAt < 0) {
+            return List.of();
+        }
+        List<FailoverAction> actions = new ArrayList<>();
+        if (steppedDownAt.isEmpty() && now - nextStepDownAt >= 0) {
+            nextStepDownAt = now + FailoverSettings.SURVEY_INTERVAL_NANOS;
+            replacedPrimary.forEach(p -> actions.add(new FailoverAction.StepDown(p)));
+        }
+        actions.addAll(surveyActions(surveyedMembers(state), now));
+        return actions;
+    }
+
+    private List<ServerRecord> surveyedMembers(DirectoryState state) {
+        return state.members(group).stream().filter(s -> survey.includes(s.id())).toList();
     }
 
     /** Returns whether a replica has received every commit of the draining primary. */
     private boolean handoverComplete() {
-        return replacedPrimaryPosition.exists(
-                last -> positions.values().stream().anyMatch(p -> p.compareTo(last) >= 0));
+        return steppedDownAt.exists(survey::reached);
     }
 
-    private List<FailoverAction> resumeReplication(DirectoryState state) {
+    private List<FailoverAction> abandon(DirectoryState state, long now) {
+        phase = Phase.WATCHING;
+        phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
         if (!replicationSuspended) {
             return List.of();
         }
         replicationSuspended = false;
-        return state.members(group).stream()
-                .filter(s -> surveyedReplicas.contains(s.id()))
+        return surveyedMembers(state).stream()
                 .map(s -> (FailoverAction) new FailoverAction.ResumeReplication(s))
                 .toList();
     }
 
+    private List<FailoverAction> order(String server, long now) {
+        candidate = server;
+        phase = Phase.ORDERING;
+        phaseDeadline = now + FailoverSettings.CALL_RETRY_NANOS;
+        return List.of(new FailoverAction.OrderPromotion(group, candidate, reason));
+    }
+
     /** Starts the calls to the platform once the order is committed. */
     List<FailoverAction> orderCommitted(String server, long fencingToken, long now) {
         phase = Phase.CALLING;
@@ -249,10 +324,12 @@
 
     /**
      * Repeats the call, unless the proxies reach a leader again: an unanswered call may have been
-     * carried out.
+     * carried out. Under leases the proxies reach no leader before the promotion is confirmed.
      */
     private List<FailoverAction> retryCall(DirectoryState state, long now) {
-        if (callCount > 0 && failureDetector.majorityReachesLeader(state.proxies(), now)) {
+        boolean leaderFound =
+                !leases.required() && failureDetector.majorityReachesLeader(state.proxies(), now);
+        if (callCount > 0 && leaderFound) {
             phase = Phase.SETTLING;
             phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
             return List.of();
@@ -264,7 +341,9 @@
         if (now - phaseDeadline < 0) {
             return List.of();
         }
-        if (callCount >= FailoverSettings.MAX_CALLS_PER_ORDER) {
+        // Without fencing by the platform another server must not be called before this call has
+        // certainly ended, so only an answer ends the calls.
+        if (!leases.required() && callCount >= FailoverSettings.MAX_CALLS_PER_ORDER) {
             rejectedServers.add(candidate);
             phase = Phase.WATCHING;
             return List.of();
@@ -274,28 +353,35 @@
         return List.of(new FailoverAction.CallPromotion(group, candidate, orderToken));
     }
 
-    /** Records the platform's answer to a call. */
-    void recordCallOutcome(long calledToken, CallOutcome outcome, long now) {
+    /** Records the platform's answer to a call and returns the actions that follow from it. */
+    List<FailoverAction> recordCallOutcome(long calledToken, CallOutcome outcome, long now) {
         if (phase != Phase.CALLING || calledToken != orderToken) {
-            return;
+            return List.of();
         }
         switch (outcome) {
             case ACCEPTED -> {
                 phase = Phase.SETTLING;
                 phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
                 failureDetector.clear();
+                leases.resume(group);
+                return List.of(new FailoverAction.ConfirmPromotion(group, calledToken));
             }
             case REJECTED -> {
                 rejectedServers.add(candidate);
                 phase = Phase.WATCHING;
                 phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
             }
-            case UNKNOWN -> phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
+            case UNKNOWN -> {
+                unansweredCallAt = Option.some(now);
+                unansweredCallServer = candidate;
+                phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
+            }
         }
+        return List.of();
     }
 
     /** Returns the state as one line of the state dump. */
-    String describe() {
+    String describe(long now) {
         return group
                 + " "
                 + phase
@@ -304,7 +390,9 @@
                 + " token="
                 + orderToken
                 + " replaced="
-                + replacedPrimary
+                + replacedPrimary.map(ServerRecord::id).getOrElse("")
+                + " leases="
+                + leases.holders(group, now)
                 + " reason="
                 + reason;
     }
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/placement/HolderRanking.java
@@ -0,0 +1,62 @@
+package org.ragwortmoor.coordination.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The order in which a proxy uses the proxies of its failure domain as holders of the connections
+ * to a group.
+ *
+ * @param holders proxies that hold connections
+ * @param candidates proxies in the order in which this proxy uses them: the holders, starting with
+ *     itself or with the one to which its hash assigns it, then a substitute, then itself
+ */
+public record HolderRanking(Set<String> holders, List<String> candidates) {
+    /** Copies the collections. */
+    public HolderRanking {
+        holders = Set.copyOf(holders);
+        candidates = List.copyOf(candidates);
+    }
+
+    /**
+     * Returns the ranking for a group.
+     *
+     * @param self this proxy
+     * @param members live proxies of the failure domain
+     * @param holderCount number of holders
+     */
+    public static HolderRanking of(
+            String group, String self, List<String> members, int holderCount) {
+        Map<String, Double> weights = new HashMap<>();
+        members.forEach(member -> weights.put(member, 1.0));
+        weights.put(self, 1.0);
+        List<String> ranked = RendezvousHash.rank(group, weights);
+        List<String> holders = ranked.subList(0, Math.min(holderCount, ranked.size()));
+        Set<String> candidates = new LinkedHashSet<>();
+        if (holders.contains(self)) {
+            candidates.add(self);
+        }
+        candidates.addAll(rotate(holders, RendezvousHash.hash(group, self)));
+        if (ranked.size() > holders.size()) {
+            candidates.add(ranked.get(holders.size()));
+        }
+        candidates.add(self);
+        return new HolderRanking(Set.copyOf(holders), new ArrayList<>(candidates));
+    }
+
+    private static List<String> rotate(List<String> list, long by) {
+        int start = (int) Long.remainderUnsigned(by, list.size());
+        List<String> rotated = new ArrayList<>(list.subList(start, list.size()));
+        rotated.addAll(list.subList(0, start));
+        return rotated;
+    }
+
+    /** Returns whether the proxy holds connections. */
+    public boolean holds(String proxy) {
+        return holders.contains(proxy);
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
@@ -149,6 +149,7 @@
         private long requestedAt;
         private long clockOffsetAtRequest;
         private boolean inFlight;
+        private long leaseAtSend;
 
         void start() {
             ConnectionRequest.Target target =
@@ -250,7 +251,14 @@
         }
 
         private void send() {
+            if (!statement.isRead() && !group.lease().permitsWork(connection.server())) {
+                connection.server().release(connection);
+                lastReason = "no lease on the primary";
+                retryAfter(SessionSettings.DENIED_RETRY_NANOS);
+                return;
+            }
             inFlight = true;
+            leaseAtSend = group.lease().grantNumber();
             requestedAt = host.now();
             clockOffsetAtRequest = group.clockOffsetMillis();
             String text = statement.serverText(session.statementNames());
@@ -285,6 +293,13 @@
                 return;
             }
             connection.server().recordLatency(host.now() - requestedAt);
+            boolean leaseLost =
+                    !statement.isRead() && !group.mayPassOnAnswer(connection.server(), leaseAtSend);
+            if (leaseLost) {
+                ConnectionCleanup.rollbackIfNeededAndRelease(connection, completed.state(), host);
+                handleLost(new ExchangeResult.Lost("the lease on the primary has ended"));
+                return;
+            }
             if (!statement.isRead()) {
                 group.recordProof(
                         connection.server(),
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerAnswers.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerAnswers.java
@@ -1,10 +1,12 @@
 package org.ragwortmoor.coordination.session;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
 import org.ragwortmoor.state.statement.ErrorCode;
 import org.ragwortmoor.state.statement.MessageKind;
 import org.ragwortmoor.state.statement.PositionField;
+import org.ragwortmoor.state.statement.Statement;
 import org.ragwortmoor.state.statement.StatementMessage;
 
 /** Builds the messages that answer a caller's statement. */
@@ -38,6 +40,17 @@
                 ready(transactionState, PositionField.NONE));
     }
 
+    /** Returns the error for a statement in a failed transaction; none for a rollback. */
+    static Option<String> errorAfterFailure(Statement statement) {
+        if (statement instanceof Statement.Rollback) {
+            return Option.none();
+        }
+        return Option.some(
+                statement instanceof Statement.Commit
+                        ? ErrorCode.ABORTED.name()
+                        : ErrorCode.MALFORMED.name());
+    }
+
     /** Returns the message that ends an answer. */
     static StatementMessage ready(String transactionState, String position) {
         return StatementMessage.of(MessageKind.READY, transactionState, position);
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
@@ -243,7 +243,7 @@
         Option<String> errorCode =
                 parsed.isLeft()
                         ? Option.some(ErrorCode.MALFORMED.name())
-                        : PinnedTransaction.errorAfterFailure(parsed.get());
+                        : CallerAnswers.errorAfterFailure(parsed.get());
         boolean isCommit = parsed.exists(s -> s instanceof Statement.Commit);
         if (errorCode.isEmpty()) {
             rollback();
--- a/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
@@ -9,7 +9,8 @@
  *
  * <p>The directory names the leader. Leadership is proved only by accepting a read-write
  * transaction or a write, so an outdated name causes delays but never wrong answers. If the named
- * server keeps denying its leadership, the other servers are probed.
+ * server keeps denying its leadership, the other servers are probed. Where a replaced leader is not
+ * deposed, only the server named by the directory is used, see {@link PrimaryLease}.
  */
 final class LeaderTracker {
     private final ServerGroup group;
@@ -22,6 +23,7 @@
     private long lastDeniedAt;
     private long deniedSince;
     private boolean denied;
+    private boolean confirmed;
     private Option<Long> unansweredSince = Option.none();
     private boolean probeInFlight;
     private int searchIndex;
@@ -47,6 +49,11 @@
         }
     }
 
+    /** Returns whether the directory names the server as leader. */
+    boolean isDirectoryLeader(String server) {
+        return !server.isEmpty() && server.equals(directoryLeader) && server.equals(current);
+    }
+
     /** Returns the server that is considered the leader, or null. */
     Server server() {
         return group.servers().get(current);
@@ -62,6 +69,15 @@
         return denied;
     }
 
+    /**
+     * Returns whether the leader answers and has not lost its leadership. A server that the
+     * directory has just named may still deny it until its promotion is carried out.
+     */
+    boolean mayLead() {
+        boolean silent = nanosWithoutProof() >= SessionSettings.LEASE_SILENCE_NANOS;
+        return confirmed ? !denied && !silent : denied || !silent;
+    }
+
     /** Returns the time since the leader was first asked without giving a proof, or 0. */
     long nanosWithoutProof() {
         long now = host.now();
@@ -75,7 +91,7 @@
 
     void recordProof(Server server, Option<Position> position, long requestedAt) {
         if (!server.record().id().equals(current)) {
-            if (position.exists(p -> p.term() >= highestTerm)) {
+            if (!group.lease().required() && position.exists(p -> p.term() >= highestTerm)) {
                 switchTo(server.record().id(), "it accepted a transaction in term " + highestTerm);
             } else {
                 return;
@@ -85,6 +101,7 @@
             lastProofAt = requestedAt;
         }
         unansweredSince = Option.none();
+        confirmed = true;
         if (denied) {
             denied = false;
             log.leaderConfirmed(group.name(), current, highestTerm);
@@ -110,6 +127,7 @@
         log.leaderChanged(group.name(), current, server, reason);
         current = server;
         denied = false;
+        confirmed = false;
         unansweredSince = Option.none();
         lastProofAt = host.now();
         group.dispatch();
@@ -132,7 +150,9 @@
         boolean search =
                 (denied && now - deniedSince >= SessionSettings.LEADER_SEARCH_DELAY_NANOS)
                         || server == null;
-        if (search && now - lastSearchAt >= SessionSettings.LEADER_SEARCH_INTERVAL_NANOS) {
+        if (!group.lease().required()
+                && search
+                && now - lastSearchAt >= SessionSettings.LEADER_SEARCH_INTERVAL_NANOS) {
             lastSearchAt = now;
             searchLeader();
         }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
@@ -10,7 +10,6 @@
 import org.ragwortmoor.state.routes.RouteKind;
 import org.ragwortmoor.state.statement.ErrorCode;
 import org.ragwortmoor.state.statement.PositionField;
-import org.ragwortmoor.state.statement.Statement;
 
 /**
  * A caller's transaction, pinned to one server connection from its first statement to its end.
@@ -40,6 +39,7 @@
     private ServerConnection connection;
     private ConnectionRequest pendingRequest;
     private RoutedStatement currentStatement;
+    private long leaseAtSend;
 
     PinnedTransaction(
             CallerSession session, ServerGroup group, Route route, boolean readOnly, long beganAt) {
@@ -245,6 +245,12 @@
     }
 
     private void send() {
+        boolean commitsWrites = currentStatement.kind() == RoutedStatement.Kind.COMMIT && wrote;
+        if (commitsWrites && !group.lease().permitsWork(connection.server())) {
+            abort(ErrorCode.ABORTED.name(), "no lease on the primary");
+            return;
+        }
+        leaseAtSend = group.lease().grantNumber();
         long sentAt = host.now();
         Consumer<ExchangeResult> callback = result -> handleResult(result, sentAt);
         connection.execute(
@@ -273,6 +279,11 @@
             ServerConnection held = connection;
             connection = null;
             ended = true;
+            if (wrote && !group.mayPassOnAnswer(held.server(), leaseAtSend)) {
+                ConnectionCleanup.rollbackIfNeededAndRelease(held, completed.state(), host);
+                abort(ErrorCode.INDOUBT.name(), "the lease on the primary has ended");
+                return;
+            }
             if (wrote) {
                 completed.position().forEach(session::recordCommit);
             }
@@ -376,15 +387,4 @@
     private static String orDefault(String text, String fallback) {
         return text.isEmpty() ? fallback : text;
     }
-
-    /** Returns the error for a statement in a failed transaction; none for a rollback. */
-    static Option<String> errorAfterFailure(Statement statement) {
-        if (statement instanceof Statement.Rollback) {
-            return Option.none();
-        }
-        return Option.some(
-                statement instanceof Statement.Commit
-                        ? ErrorCode.ABORTED.name()
-                        : ErrorCode.MALFORMED.name());
-    }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -131,6 +131,11 @@
         return averageLatencyMillis;
     }
 
+    /** Returns whether a statement has been sent and not yet answered. */
+    boolean hasStatementsInProgress() {
+        return connections.stream().anyMatch(c -> c.oldestPendingSince().isDefined());
+    }
+
     int inUse() {
         return connections.size() - idle.size() - opening;
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -14,11 +14,14 @@
 
 /** The servers of one group, with their leader, known log positions and connection requests. */
 final class ServerGroup {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final String name;
     private final SessionHost host;
     private final DecisionLog log;
     private final ReadServerSelector readSelector;
     private final LeaderTracker leader;
+    private final PrimaryLease lease;
     private final FreshnessWindow freshness = new FreshnessWindow();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<ConnectionRequest> pendingRequests = new ArrayList<>();
@@ -31,6 +34,7 @@
         this.host = host;
         this.log = log;
         this.readSelector = new ReadServerSelector(zone);
+        this.lease = new PrimaryLease(host);
         this.leader = new LeaderTracker(this, host, log);
     }
 
@@ -46,6 +50,10 @@
         return leader;
     }
 
+    PrimaryLease lease() {
+        return lease;
+    }
+
     Map<String, Server> servers() {
         return servers;
     }
@@ -68,6 +76,9 @@
             boolean removed = record == null || record.state() == ServerState.GONE;
             if (removed || record.startedAtMillis() != server.record().startedAtMillis()) {
                 servers.remove(server.record().id());
+                if (server == leader.server()) {
+                    lease.release();
+                }
                 server.closeAll("the server has ended");
             }
         }
@@ -88,6 +99,21 @@
         dispatch();
     }
 
+    /** Returns the state as one line of the state dump. */
+    String describe() {
+        StringBuilder line = new StringBuilder("group " + name);
+        line.append(" leader=").append(Option.of(leader.server()).map(s -> s.record().id()));
+        line.append(" unproved_ms=").append(leader.nanosWithoutProof() / NANOS_PER_MILLI);
+        line.append(" denied=").append(leader.hasDenied());
+        line.append(" lease=").append(lease);
+        line.append(" waiting=").append(pendingRequests.size());
+        for (Server server : servers.values()) {
+            line.append(' ').append(server.record().id()).append('=');
+            line.append(server.inUse()).append('/').append(server.connectionCount());
+        }
+        return line.toString();
+    }
+
     /** Closes all connections once no route leads to the group. */
     void close() {
         servers.values().forEach(server -> server.closeAll("no route leads to the group"));
@@ -124,12 +150,47 @@
     void recordProof(
             Server server, Option<Position> position, long requestedAt, long clockOffsetAtRequest) {
         leader.recordProof(server, position, requestedAt);
-        position.forEach(p -> freshness.add(p, requestedAt, clockOffsetAtRequest, host.now()));
+        if (lease.permitsAnswers(server)) {
+            position.forEach(p -> freshness.add(p, requestedAt, clockOffsetAtRequest, host.now()));
+        }
+    }
+
+    /**
+     * Returns whether the answer to a write may be passed on. Without a lease, the server may have
+     * been replaced before it executed the write.
+     *
+     * @param leaseAtSend grant number of the lease under which the write was sent
+     */
+    boolean mayPassOnAnswer(Server server, long leaseAtSend) {
+        return lease.permitsAnswers(server) && lease.grantNumber() == leaseAtSend;
+    }
+
+    /** Ends the lease on the leader because the directory withholds it. */
+    void withholdLease() {
+        Server server = leader.server();
+        if (server != null && server.hasStatementsInProgress()) {
+            lease.withhold();
+        } else {
+            lease.release();
+        }
+    }
+
+    /**
+     * Ends the lease if the leader does not answer or denies its leadership.
+     *
+     * @return whether a lease on the leader is requested
+     */
+    boolean leaderUsable() {
+        boolean usable = leader.mayLead();
+        if (!usable) {
+            lease.release();
+        }
+        return usable;
     }
 
     /** Returns the wall clock minus the monotonic clock, in milliseconds. */
     long clockOffsetMillis() {
-        return host.wallMillis() - host.now() / 1_000_000;
+        return host.wallMillis() - host.now() / NANOS_PER_MILLI;
     }
 
     void observePosition(Option<Position> position) {
@@ -143,7 +204,8 @@
     long connectionDeadline(ConnectionRequest.Target target, Route route, long sendDeadline) {
         boolean longOutage =
                 target == ConnectionRequest.Target.LEADER
-                        && leader.nanosWithoutProof() >= SessionSettings.LONG_OUTAGE_NANOS;
+                        && Math.max(leader.nanosWithoutProof(), lease.nanosWithoutLease())
+                                >= SessionSettings.LONG_OUTAGE_NANOS;
         long latencyTarget = TimeUnit.MILLISECONDS.toNanos(route.targetMillis());
         long outageDeadline = host.now() + latencyTarget / SessionSettings.OUTAGE_WAIT_DIVISOR;
         return longOutage && outageDeadline - sendDeadline < 0 ? outageDeadline : sendDeadline;
@@ -205,7 +267,10 @@
         Server current = leader.server();
         if (request.target() == ConnectionRequest.Target.LEADER) {
             boolean usable =
-                    current != null && current.acceptsLeaderWork() && !leader.recentlyDenied();
+                    current != null
+                            && current.acceptsLeaderWork()
+                            && !leader.recentlyDenied()
+                            && lease.permitsWork(current);
             return usable ? current : null;
         }
         return readSelector.select(servers.values(), request, current, share);
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -25,6 +25,7 @@
     private final Set<CallerSession> awaitingRoutes = new LinkedHashSet<>();
     private DirectoryView view = DirectoryView.EMPTY;
     private Map<String, Route> routes = Map.of();
+    private boolean leasesRequired = true;
     private boolean stopping;
     private boolean isolated;
     private boolean closingIdle;
@@ -45,9 +46,42 @@
      *
      * @param silentNanos time since the oldest unanswered request; 0 if the primary answers
      * @param refused whether the primary denies leadership or refuses connections
+     * @param holdsLease whether this proxy holds a lease on the primary
+     * @param needsLease whether this proxy requests a lease on the primary
      */
     public record PrimaryObservation(
-            String group, String server, long silentNanos, boolean refused) {}
+            String group,
+            String server,
+            long silentNanos,
+            boolean refused,
+            boolean holdsLease,
+            boolean needsLease) {}
+
+    /**
+     * The directory's answer to a report about leases.
+     *
+     * @param reportId number of the answered report
+     * @param reportedAt time at which it was sent, in nanoseconds of the monotonic clock
+     * @param clockOffsetMillis wall clock minus monotonic clock at that time
+     * @param requested server on which the report requested a lease, by group
+     * @param leaseNanos duration of the leases, counted from {@code reportedAt}
+     */
+    public record LeaseAnswer(
+            long reportId,
+            long reportedAt,
+            long clockOffsetMillis,
+            Map<String, String> requested,
+            long leaseNanos) {
+        /** Copies the map. */
+        public LeaseAnswer {
+            requested = Map.copyOf(requested);
+        }
+
+        /** Returns this answer with another duration of the leases. */
+        public LeaseAnswer withDuration(long nanos) {
+            return new LeaseAnswer(reportId, reportedAt, clockOffsetMillis, requested, nanos);
+        }
+    }
 
     /** Starts a caller's session. */
     public CallerSession accept(SessionHost.CallerLink link) {
@@ -85,7 +119,9 @@
 
     private void updateGroups() {
         for (GroupLimits limits : view.routes().groups()) {
-            groups.computeIfAbsent(limits.name(), n -> new ServerGroup(n, host, zone, log));
+            ServerGroup group =
+                    groups.computeIfAbsent(limits.name(), n -> new ServerGroup(n, host, zone, log));
+            group.lease().setRequired(leasesRequired);
         }
         for (ServerGroup group : List.copyOf(groups.values())) {
             Option<GroupLimits> limits = view.routes().group(group.name());
@@ -109,23 +145,84 @@
         return SessionSettings.TICK_INTERVAL_NANOS;
     }
 
-    /** Returns observations of the primaries for the failure detection of the control group. */
-    public List<PrimaryObservation> observations() {
+    /**
+     * Returns observations of the primaries for the failure detection of the control group, and
+     * gives up the leases on primaries that do not answer.
+     *
+     * @param reportId number of the report that contains the observations; increases
+     */
+    public List<PrimaryObservation> observations(long reportId) {
         List<PrimaryObservation> found = new ArrayList<>();
         for (ServerGroup group : groups.values()) {
             Server server = group.leader().server();
             if (server != null) {
+                boolean usable = group.leaderUsable();
                 found.add(
                         new PrimaryObservation(
                                 group.name(),
                                 server.record().id(),
                                 group.leader().nanosWithoutProof(),
-                                group.leader().hasDenied() || server.lastOpenFailed()));
+                                group.leader().hasDenied() || server.lastOpenFailed(),
+                                group.lease().stateInReport(reportId),
+                                usable));
             }
         }
         return found;
     }
 
+    /** Returns whether a primary needs attention that should not wait for the next report. */
+    public boolean reportUrgent(long silenceNanos) {
+        return groups.values().stream()
+                .filter(group -> group.leader().server() != null)
+                .anyMatch(
+                        group ->
+                                group.leader().nanosWithoutProof() >= silenceNanos
+                                        || group.leader().hasDenied()
+                                        || group.leader().server().lastOpenFailed()
+                                        || !group.lease().permitsWork(group.leader().server()));
+    }
+
+    /** Sets whether primaries may be used only under a lease of the directory. */
+    public void setLeasesRequired(boolean required) {
+        leasesRequired = required;
+        groups.values().forEach(group -> group.lease().setRequired(required));
+    }
+
+    /**
+     * Applies the directory's answer to a report. Leases are granted for the servers that the
+     * current view names as primaries.
+     */
+    public void grantLeases(LeaseAnswer answer, Set<String> withheldGroups) {
+        answer.requested()
+                .forEach(
+                        (name, server) -> {
+                            ServerGroup group = groups.get(name);
+                            boolean primary =
+                                    group != null && group.leader().isDirectoryLeader(server);
+                            if (primary && !withheldGroups.contains(name)) {
+                                group.lease()
+                                        .grant(
+                                                server,
+                                                answer.reportId(),
+                                                answer.reportedAt(),
+                                                answer.clockOffsetMillis(),
+                                                answer.leaseNanos());
+                            }
+                        });
+        withholdLeases(withheldGroups);
+        groups.values().forEach(ServerGroup::dispatch);
+    }
+
+    /** Ends the leases on the primaries of the groups, on which the directory grants none. */
+    public void withholdLeases(Set<String> groupNames) {
+        groupNames.forEach(name -> Option.of(groups.get(name)).forEach(ServerGroup::withholdLease));
+    }
+
+    /** Returns the wall clock minus the monotonic clock, in milliseconds. */
+    public long clockOffsetMillis() {
+        return host.wallMillis() - host.now() / 1_000_000;
+    }
+
     /**
      * Returns whether callers can be served: routes and servers are known, and the proxy is neither
      * stopping nor isolated.
@@ -163,6 +260,11 @@
         return view;
     }
 
+    /** Returns one line per group, for the state dump. */
+    public List<String> describe() {
+        return groups.values().stream().map(ServerGroup::describe).toList();
+    }
+
     /** Returns the number of sessions. */
     public int sessionCount() {
         return sessions.size();
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -67,6 +67,15 @@
     /** Maximum age of proofs of leadership that are kept. */
     static final long PROOF_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /**
+     * Time for which answers to commits in progress are still passed on after the directory has
+     * withheld a lease; a commit normally takes less.
+     */
+    static final long LEASE_RELEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Time without a proof after which a proxy gives up its lease on the leader. */
+    static final long LEASE_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /** Fraction of the statement timeout after which a statement not yet sent is refused. */
     static final double SEND_DEADLINE_FRACTION = 0.9;
 
--- a/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -10,6 +10,7 @@
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
 import org.ragwortmoor.protocol.wire.DirectorySnapshotMessage;
 import org.ragwortmoor.protocol.wire.GroupLimitsMessage;
+import org.ragwortmoor.protocol.wire.PromotionConfirmationMessage;
 import org.ragwortmoor.protocol.wire.PromotionMessage;
 import org.ragwortmoor.protocol.wire.RouteMessage;
 import org.ragwortmoor.protocol.wire.RouteTableMessage;
@@ -41,6 +42,11 @@
                             .setGroup(order.group())
                             .setServer(order.server())
                             .setHolder(order.holder()));
+        } else if (command instanceof DirectoryCommand.ConfirmPromotion confirmation) {
+            builder.setConfirmPromotion(
+                    PromotionConfirmationMessage.newBuilder()
+                            .setGroup(confirmation.group())
+                            .setToken(confirmation.token()));
         } else if (command instanceof DirectoryCommand.CountProxies count) {
             builder.setCountProxies(count.proxies());
         } else if (command instanceof DirectoryCommand.ReadBarrier barrier) {
@@ -65,6 +71,10 @@
                             message.getOrderPromotion().getGroup(),
                             message.getOrderPromotion().getServer(),
                             message.getOrderPromotion().getHolder());
+            case CONFIRM_PROMOTION ->
+                    new DirectoryCommand.ConfirmPromotion(
+                            message.getConfirmPromotion().getGroup(),
+                            message.getConfirmPromotion().getToken());
             case COUNT_PROXIES -> new DirectoryCommand.CountProxies(message.getCountProxies());
             case READ_BARRIER -> new DirectoryCommand.ReadBarrier(message.getReadBarrier());
             case COMMAND_NOT_SET -> throw MalformedException.missing("command");
@@ -86,7 +96,8 @@
                             .setGroup(promotion.group())
                             .setServer(promotion.server())
                             .setHolder(promotion.holder())
-                            .setToken(promotion.token()));
+                            .setToken(promotion.token())
+                            .setConfirmed(promotion.confirmed()));
         }
         return builder.build().toByteArray();
     }
@@ -109,7 +120,11 @@
                     promotions.put(
                             p.getGroup(),
                             new Promotion(
-                                    p.getGroup(), p.getServer(), p.getHolder(), p.getToken()));
+                                    p.getGroup(),
+                                    p.getServer(),
+                                    p.getHolder(),
+                                    p.getToken(),
+                                    p.getConfirmed()));
         }
         return new DirectoryState(
                 decode(message.getRoutes()),
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -51,6 +51,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragwortmoor_directory_PromotionMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_PromotionConfirmationMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_PromotionConfirmationMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor;
   static final 
@@ -127,56 +132,64 @@
       "s\030\002 \001(\003\022\r\n\005group\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022" +
       "\014\n\004zone\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\r\n\005state\030\007 " +
       "\001(\t\022\017\n\007primary\030\010 \001(\010\022\022\n\nchanged_at\030\t \001(\004" +
-      "\"P\n\020PromotionMessage\022\r\n\005group\030\001 \001(\t\022\016\n\006s" +
+      "\"c\n\020PromotionMessage\022\r\n\005group\030\001 \001(\t\022\016\n\006s" +
       "erver\030\002 \001(\t\022\016\n\006holder\030\003 \001(\t\022\r\n\005token\030\004 \001" +
-      "(\004\"\225\002\n\027DirectoryCommandMessage\022>\n\nput_ro" +
+      "(\004\022\021\n\tconfirmed\030\005 \001(\010\"<\n\034PromotionConfir" +
+      "mationMessage\022\r\n\005group\030\001 \001(\t\022\r\n\005token\030\002 " +
+      "\001(\004\"\347\002\n\027DirectoryCommandMessage\022>\n\nput_r" +
+      "outes\030\001 \001(\0132(.ragwortmoor.directory.Rout" +
+      "eTableMessageH\000\022:\n\nput_server\030\002 \001(\0132$.ra" +
+      "gwortmoor.directory.ServerMessageH\000\022B\n\017o" +
+      "rder_promotion\030\003 \001(\0132\'.ragwortmoor.direc" +
+      "tory.PromotionMessageH\000\022\026\n\014read_barrier\030" +
+      "\004 \001(\004H\000\022\027\n\rcount_proxies\030\005 \001(\rH\000\022P\n\021conf" +
+      "irm_promotion\030\006 \001(\01323.ragwortmoor.direct" +
+      "ory.PromotionConfirmationMessageH\000B\t\n\007co" +
+      "mmand\"\214\002\n\030DirectorySnapshotMessage\0228\n\006ro" +
       "utes\030\001 \001(\0132(.ragwortmoor.directory.Route" +
-      "TableMessageH\000\022:\n\nput_server\030\002 \001(\0132$.rag" +
-      "wortmoor.directory.ServerMessageH\000\022B\n\017or" +
-      "der_promotion\030\003 \001(\0132\'.ragwortmoor.direct" +
-      "ory.PromotionMessageH\000\022\026\n\014read_barrier\030\004" +
-      " \001(\004H\000\022\027\n\rcount_proxies\030\005 \001(\rH\000B\t\n\007comma" +
-      "nd\"\214\002\n\030DirectorySnapshotMessage\0228\n\006route" +
-      "s\030\001 \001(\0132(.ragwortmoor.directory.RouteTab" +
-      "leMessage\022\027\n\017routes_revision\030\002 \001(\004\0225\n\007se" +
-      "rvers\030\003 \003(\0132$.ragwortmoor.directory.Serv" +
-      "erMessage\022\030\n\020servers_revision\030\004 \001(\004\022;\n\np" +
-      "romotions\030\005 \003(\0132\'.ragwortmoor.directory." +
-      "PromotionMessage\022\017\n\007proxies\030\006 \001(\r\"b\n\031Pri" +
-      "maryObservationMessage\022\r\n\005group\030\001 \001(\t\022\016\n" +
-      "\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003 \001(\r\022\017\n\007" +
-      "refused\030\004 \001(\010\"\232\001\n\021NodeReportMessage\022\r\n\005p" +
-      "roxy\030\001 \001(\t\022\027\n\017routes_revision\030\002 \001(\004\022\030\n\020s" +
-      "ervers_revision\030\003 \001(\004\022C\n\tprimaries\030\004 \003(\013" +
-      "20.ragwortmoor.directory.PrimaryObservat" +
-      "ionMessage\"\203\002\n\026DirectoryUpdateMessage\022\016\n" +
-      "\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxie" +
-      "s\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006rout" +
-      "es\030\005 \001(\0132(.ragwortmoor.directory.RouteTa" +
-      "bleMessage\022\030\n\020servers_revision\030\006 \001(\004\022\023\n\013" +
-      "has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.rag" +
-      "wortmoor.directory.ServerMessage\"A\n\013Join" +
-      "Message\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedRequest" +
-      "Message\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030\002 \001(\0132" +
-      "(.ragwortmoor.directory.RouteTableMessag" +
-      "eH\000\022H\n\014announcement\030\003 \001(\01320.ragwortmoor." +
-      "directory.ServerAnnouncementMessageH\000\022\025\n" +
-      "\013read_routes\030\004 \001(\010H\000B\t\n\007request\"c\n\031Serve" +
-      "rAnnouncementMessage\0224\n\006server\030\001 \001(\0132$.r" +
-      "agwortmoor.directory.ServerMessage\022\020\n\010se" +
-      "quence\030\002 \001(\004\"E\n\026ForwardedAnswerMessage\022\n" +
-      "\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006source\030\003 " +
-      "\001(\t\"\317\002\n\020DirectoryMessage\022:\n\006report\030\001 \001(\013" +
-      "2(.ragwortmoor.directory.NodeReportMessa" +
-      "geH\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor.direc" +
-      "tory.DirectoryUpdateMessageH\000\0222\n\004join\030\003 " +
-      "\001(\0132\".ragwortmoor.directory.JoinMessageH" +
-      "\000\022A\n\007request\030\004 \001(\0132..ragwortmoor.directo" +
-      "ry.ForwardedRequestMessageH\000\022?\n\006answer\030\005" +
-      " \001(\0132-.ragwortmoor.directory.ForwardedAn" +
-      "swerMessageH\000B\006\n\004bodyB!\n\035org.ragwortmoor" +
-      ".protocol.wireP\001b\006proto3"
+      "TableMessage\022\027\n\017routes_revision\030\002 \001(\004\0225\n" +
+      "\007servers\030\003 \003(\0132$.ragwortmoor.directory.S" +
+      "erverMessage\022\030\n\020servers_revision\030\004 \001(\004\022;" +
+      "\n\npromotions\030\005 \003(\0132\'.ragwortmoor.directo" +
+      "ry.PromotionMessage\022\017\n\007proxies\030\006 \001(\r\"\214\001\n" +
+      "\031PrimaryObservationMessage\022\r\n\005group\030\001 \001(" +
+      "\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003 \001(\r" +
+      "\022\017\n\007refused\030\004 \001(\010\022\023\n\013holds_lease\030\005 \001(\010\022\023" +
+      "\n\013needs_lease\030\006 \001(\010\"\273\001\n\021NodeReportMessag" +
+      "e\022\r\n\005proxy\030\001 \001(\t\022\027\n\017routes_revision\030\002 \001(" +
+      "\004\022\030\n\020servers_revision\030\003 \001(\004\022C\n\tprimaries" +
+      "\030\004 \003(\01320.ragwortmoor.directory.PrimaryOb" +
+      "servationMessage\022\n\n\002id\030\005 \001(\004\022\023\n\013incarnat" +
+      "ion\030\006 \001(\006\"\305\002\n\026DirectoryUpdateMessage\022\016\n\006" +
+      "leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxies" +
+      "\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006route" +
+      "s\030\005 \001(\0132(.ragwortmoor.directory.RouteTab" +
+      "leMessage\022\030\n\020servers_revision\030\006 \001(\004\022\023\n\013h" +
+      "as_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.ragw" +
+      "ortmoor.directory.ServerMessage\022\021\n\trepor" +
+      "t_id\030\t \001(\004\022\024\n\014lease_millis\030\n \001(\r\022\027\n\017with" +
+      "held_groups\030\013 \003(\t\"A\n\013JoinMessage\022\014\n\004node" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\017\n\007address\030\003" +
+      " \001(\t\"\321\001\n\027ForwardedRequestMessage\022\n\n\002id\030\001" +
+      " \001(\004\022>\n\nput_routes\030\002 \001(\0132(.ragwortmoor.d" +
+      "irectory.RouteTableMessageH\000\022H\n\014announce" +
+      "ment\030\003 \001(\01320.ragwortmoor.directory.Serve" +
+      "rAnnouncementMessageH\000\022\025\n\013read_routes\030\004 " +
+      "\001(\010H\000B\t\n\007request\"c\n\031ServerAnnouncementMe" +
+      "ssage\0224\n\006server\030\001 \001(\0132$.ragwortmoor.dire" +
+      "ctory.ServerMessage\022\020\n\010sequence\030\002 \001(\004\"E\n" +
+      "\026ForwardedAnswerMessage\022\n\n\002id\030\001 \001(\004\022\017\n\007o" +
+      "utcome\030\002 \001(\t\022\016\n\006source\030\003 \001(\t\"\317\002\n\020Directo" +
+      "ryMessage\022:\n\006report\030\001 \001(\0132(.ragwortmoor." +
+      "directory.NodeReportMessageH\000\022?\n\006update\030" +
+      "\002 \001(\0132-.ragwortmoor.directory.DirectoryU" +
+      "pdateMessageH\000\0222\n\004join\030\003 \001(\0132\".ragwortmo" +
+      "or.directory.JoinMessageH\000\022A\n\007request\030\004 " +
+      "\001(\0132..ragwortmoor.directory.ForwardedReq" +
+      "uestMessageH\000\022?\n\006answer\030\005 \001(\0132-.ragwortm" +
+      "oor.directory.ForwardedAnswerMessageH\000B\006" +
+      "\n\004bodyB!\n\035org.ragwortmoor.protocol.wireP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -211,63 +224,69 @@
     internal_static_ragwortmoor_directory_PromotionMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_PromotionMessage_descriptor,
-        new java.lang.String[] { "Group", "Server", "Holder", "Token", });
-    internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor =
+        new java.lang.String[] { "Group", "Server", "Holder", "Token", "Confirmed", });
+    internal_static_ragwortmoor_directory_PromotionConfirmationMessage_descriptor =
       getDescriptor().getMessageType(5);
+    internal_static_ragwortmoor_directory_PromotionConfirmationMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_PromotionConfirmationMessage_descriptor,
+        new java.lang.String[] { "Group", "Token", });
+    internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor =
+      getDescriptor().getMessageType(6);
     internal_static_ragwortmoor_directory_DirectoryCommandMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor,
-        new java.lang.String[] { "PutRoutes", "PutServer", "OrderPromotion", "ReadBarrier", "CountProxies", "Command", });
+        new java.lang.String[] { "PutRoutes", "PutServer", "OrderPromotion", "ReadBarrier", "CountProxies", "ConfirmPromotion", "Command", });
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor,
         new java.lang.String[] { "Routes", "RoutesRevision", "Servers", "ServersRevision", "Promotions", "Proxies", });
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_PrimaryObservationMessage_descriptor,
-        new java.lang.String[] { "Group", "Server", "SilentMillis", "Refused", });
+        new java.lang.String[] { "Group", "Server", "SilentMillis", "Refused", "HoldsLease", "NeedsLease", });
     internal_static_ragwortmoor_directory_NodeReportMessage_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_ragwortmoor_directory_NodeReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NodeReportMessage_descriptor,
-        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", });
+        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", });
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor,
-        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", });
+        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", });
     internal_static_ragwortmoor_directory_JoinMessage_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_ragwortmoor_directory_JoinMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_JoinMessage_descriptor,
         new java.lang.String[] { "Node", "Incarnation", "Address", });
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor,
         new java.lang.String[] { "Id", "PutRoutes", "Announcement", "ReadRoutes", "Request", });
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor,
         new java.lang.String[] { "Server", "Sequence", });
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor,
         new java.lang.String[] { "Id", "Outcome", "Source", });
     internal_static_ragwortmoor_directory_DirectoryMessage_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_ragwortmoor_directory_DirectoryMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryMessage_descriptor,
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessage.java
@@ -54,6 +54,7 @@
     ORDER_PROMOTION(3),
     READ_BARRIER(4),
     COUNT_PROXIES(5),
+    CONFIRM_PROMOTION(6),
     COMMAND_NOT_SET(0);
     private final int value;
     private CommandCase(int value) {
@@ -76,6 +77,7 @@
         case 3: return ORDER_PROMOTION;
         case 4: return READ_BARRIER;
         case 5: return COUNT_PROXIES;
+        case 6: return CONFIRM_PROMOTION;
         case 0: return COMMAND_NOT_SET;
         default: return null;
       }
@@ -226,6 +228,37 @@
     return 0;
   }
 
+  public static final int CONFIRM_PROMOTION_FIELD_NUMBER = 6;
+  /**
+   * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+   * @return Whether the confirmPromotion field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfirmPromotion() {
+    return commandCase_ == 6;
+  }
+  /**
+   * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+   * @return The confirmPromotion.
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.PromotionConfirmationMessage getConfirmPromotion() {
+    if (commandCase_ == 6) {
+       return (org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_;
+    }
+    return org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.PromotionConfirmationMessageOrBuilder getConfirmPromotionOrBuilder() {
+    if (commandCase_ == 6) {
+       return (org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_;
+    }
+    return org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -257,6 +290,9 @@
       output.writeUInt32(
           5, (int)((java.lang.Integer) command_));
     }
+    if (commandCase_ == 6) {
+      output.writeMessage(6, (org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -288,6 +324,10 @@
         .computeUInt32Size(
             5, (int)((java.lang.Integer) command_));
     }
+    if (commandCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, (org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -325,6 +365,10 @@
         if (getCountProxies()
             != other.getCountProxies()) return false;
         break;
+      case 6:
+        if (!getConfirmPromotion()
+            .equals(other.getConfirmPromotion())) return false;
+        break;
       case 0:
       default:
     }
@@ -361,6 +405,10 @@
         hash = (37 * hash) + COUNT_PROXIES_FIELD_NUMBER;
         hash = (53 * hash) + getCountProxies();
         break;
+      case 6:
+        hash = (37 * hash) + CONFIRM_PROMOTION_FIELD_NUMBER;
+        hash = (53 * hash) + getConfirmPromotion().hashCode();
+        break;
       case 0:
       default:
     }
@@ -504,6 +552,9 @@
       if (orderPromotionBuilder_ != null) {
         orderPromotionBuilder_.clear();
       }
+      if (confirmPromotionBuilder_ != null) {
+        confirmPromotionBuilder_.clear();
+      }
       commandCase_ = 0;
       command_ = null;
       return this;
@@ -557,6 +608,10 @@
           orderPromotionBuilder_ != null) {
         result.command_ = orderPromotionBuilder_.build();
       }
+      if (commandCase_ == 6 &&
+          confirmPromotionBuilder_ != null) {
+        result.command_ = confirmPromotionBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -592,6 +647,10 @@
           setCountProxies(other.getCountProxies());
           break;
         }
+        case CONFIRM_PROMOTION: {
+          mergeConfirmPromotion(other.getConfirmPromotion());
+          break;
+        }
         case COMMAND_NOT_SET: {
           break;
         }
@@ -653,6 +712,13 @@
               commandCase_ = 5;
               break;
             } // case 40
+            case 50: {
+              input.readMessage(
+                  internalGetConfirmPromotionFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              commandCase_ = 6;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1195,6 +1261,148 @@
       return this;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.PromotionConfirmationMessage, org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.Builder, org.ragwortmoor.protocol.wire.PromotionConfirmationMessageOrBuilder> confirmPromotionBuilder_;
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     * @return Whether the confirmPromotion field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfirmPromotion() {
+      return commandCase_ == 6;
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     * @return The confirmPromotion.
+     */
+    @java.lang.Override
+    public org.ragwortmoor.protocol.wire.PromotionConfirmationMessage getConfirmPromotion() {
+      if (confirmPromotionBuilder_ == null) {
+        if (commandCase_ == 6) {
+          return (org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_;
+        }
+        return org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.getDefaultInstance();
+      } else {
+        if (commandCase_ == 6) {
+          return confirmPromotionBuilder_.getMessage();
+        }
+        return org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     */
+    public Builder setConfirmPromotion(org.ragwortmoor.protocol.wire.PromotionConfirmationMessage value) {
+      if (confirmPromotionBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        command_ = value;
+        onChanged();
+      } else {
+        confirmPromotionBuilder_.setMessage(value);
+      }
+      commandCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     */
+    public Builder setConfirmPromotion(
+        org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.Builder builderForValue) {
+      if (confirmPromotionBuilder_ == null) {
+        command_ = builderForValue.build();
+        onChanged();
+      } else {
+        confirmPromotionBuilder_.setMessage(builderForValue.build());
+      }
+      commandCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     */
+    public Builder mergeConfirmPromotion(org.ragwortmoor.protocol.wire.PromotionConfirmationMessage value) {
+      if (confirmPromotionBuilder_ == null) {
+        if (commandCase_ == 6 &&
+            command_ != org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.getDefaultInstance()) {
+          command_ = org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.newBuilder((org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          command_ = value;
+        }
+        onChanged();
+      } else {
+        if (commandCase_ == 6) {
+          confirmPromotionBuilder_.mergeFrom(value);
+        } else {
+          confirmPromotionBuilder_.setMessage(value);
+        }
+      }
+      commandCase_ = 6;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     */
+    public Builder clearConfirmPromotion() {
+      if (confirmPromotionBuilder_ == null) {
+        if (commandCase_ == 6) {
+          commandCase_ = 0;
+          command_ = null;
+          onChanged();
+        }
+      } else {
+        if (commandCase_ == 6) {
+          commandCase_ = 0;
+          command_ = null;
+        }
+        confirmPromotionBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     */
+    public org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.Builder getConfirmPromotionBuilder() {
+      return internalGetConfirmPromotionFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     */
+    @java.lang.Override
+    public org.ragwortmoor.protocol.wire.PromotionConfirmationMessageOrBuilder getConfirmPromotionOrBuilder() {
+      if ((commandCase_ == 6) && (confirmPromotionBuilder_ != null)) {
+        return confirmPromotionBuilder_.getMessageOrBuilder();
+      } else {
+        if (commandCase_ == 6) {
+          return (org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_;
+        }
+        return org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.PromotionConfirmationMessage, org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.Builder, org.ragwortmoor.protocol.wire.PromotionConfirmationMessageOrBuilder> 
+        internalGetConfirmPromotionFieldBuilder() {
+      if (confirmPromotionBuilder_ == null) {
+        if (!(commandCase_ == 6)) {
+          command_ = org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.getDefaultInstance();
+        }
+        confirmPromotionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.ragwortmoor.protocol.wire.PromotionConfirmationMessage, org.ragwortmoor.protocol.wire.PromotionConfirmationMessage.Builder, org.ragwortmoor.protocol.wire.PromotionConfirmationMessageOrBuilder>(
+                (org.ragwortmoor.protocol.wire.PromotionConfirmationMessage) command_,
+                getParentForChildren(),
+                isClean());
+        command_ = null;
+      }
+      commandCase_ = 6;
+      onChanged();
+      return confirmPromotionBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectoryCommandMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessageOrBuilder.java
@@ -77,5 +77,20 @@
    */
   int getCountProxies();
 
+  /**
+   * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+   * @return Whether the confirmPromotion field is set.
+   */
+  boolean hasConfirmPromotion();
+  /**
+   * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+   * @return The confirmPromotion.
+   */
+  org.ragwortmoor.protocol.wire.PromotionConfirmationMessage getConfirmPromotion();
+  /**
+   * <code>.ragwortmoor.directory.PromotionConfirmationMessage confirm_promotion = 6;</code>
+   */
+  org.ragwortmoor.protocol.wire.PromotionConfirmationMessageOrBuilder getConfirmPromotionOrBuilder();
+
   org.ragwortmoor.protocol.wire.DirectoryCommandMessage.CommandCase getCommandCase();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
@@ -31,6 +31,8 @@
     members_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     servers_ = java.util.Collections.emptyList();
+    withheldGroups_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -206,6 +208,89 @@
     return servers_.get(index);
   }
 
+  public static final int REPORT_ID_FIELD_NUMBER = 9;
+  private long reportId_ = 0L;
+  /**
+   * <pre>
+   * Report that this update answers; 0 if it answers none.
+   * </pre>
+   *
+   * <code>uint64 report_id = 9;</code>
+   * @return The reportId.
+   */
+  @java.lang.Override
+  public long getReportId() {
+    return reportId_;
+  }
+
+  public static final int LEASE_MILLIS_FIELD_NUMBER = 10;
+  private int leaseMillis_ = 0;
+  /**
+   * <pre>
+   * Duration of the primary leases, counted from the sending of the report; 0 if no lease is needed.
+   * </pre>
+   *
+   * <code>uint32 lease_millis = 10;</code>
+   * @return The leaseMillis.
+   */
+  @java.lang.Override
+  public int getLeaseMillis() {
+    return leaseMillis_;
+  }
+
+  public static final int WITHHELD_GROUPS_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList withheldGroups_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @return A list containing the withheldGroups.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getWithheldGroupsList() {
+    return withheldGroups_;
+  }
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @return The count of withheldGroups.
+   */
+  public int getWithheldGroupsCount() {
+    return withheldGroups_.size();
+  }
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @param index The index of the element to return.
+   * @return The withheldGroups at the given index.
+   */
+  public java.lang.String getWithheldGroups(int index) {
+    return withheldGroups_.get(index);
+  }
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the withheldGroups at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getWithheldGroupsBytes(int index) {
+    return withheldGroups_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -244,6 +329,15 @@
     for (int i = 0; i < servers_.size(); i++) {
       output.writeMessage(8, servers_.get(i));
     }
+    if (reportId_ != 0L) {
+      output.writeUInt64(9, reportId_);
+    }
+    if (leaseMillis_ != 0) {
+      output.writeUInt32(10, leaseMillis_);
+    }
+    for (int i = 0; i < withheldGroups_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 11, withheldGroups_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -289,6 +383,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, servers_.get(i));
     }
+    if (reportId_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, reportId_);
+    }
+    if (leaseMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, leaseMillis_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < withheldGroups_.size(); i++) {
+        dataSize += computeStringSizeNoTag(withheldGroups_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getWithheldGroupsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -323,6 +433,12 @@
         != other.getHasServers()) return false;
     if (!getServersList()
         .equals(other.getServersList())) return false;
+    if (getReportId()
+        != other.getReportId()) return false;
+    if (getLeaseMillis()
+        != other.getLeaseMillis()) return false;
+    if (!getWithheldGroupsList()
+        .equals(other.getWithheldGroupsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -360,6 +476,15 @@
       hash = (37 * hash) + SERVERS_FIELD_NUMBER;
       hash = (53 * hash) + getServersList().hashCode();
     }
+    hash = (37 * hash) + REPORT_ID_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReportId());
+    hash = (37 * hash) + LEASE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getLeaseMillis();
+    if (getWithheldGroupsCount() > 0) {
+      hash = (37 * hash) + WITHHELD_GROUPS_FIELD_NUMBER;
+      hash = (53 * hash) + getWithheldGroupsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -517,6 +642,10 @@
         serversBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      reportId_ = 0L;
+      leaseMillis_ = 0;
+      withheldGroups_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -589,6 +718,16 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.hasServers_ = hasServers_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.reportId_ = reportId_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.leaseMillis_ = leaseMillis_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        withheldGroups_.makeImmutable();
+        result.withheldGroups_ = withheldGroups_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -658,6 +797,22 @@
           }
         }
       }
+      if (other.getReportId() != 0L) {
+        setReportId(other.getReportId());
+      }
+      if (other.getLeaseMillis() != 0) {
+        setLeaseMillis(other.getLeaseMillis());
+      }
+      if (!other.withheldGroups_.isEmpty()) {
+        if (withheldGroups_.isEmpty()) {
+          withheldGroups_ = other.withheldGroups_;
+          bitField0_ |= 0x00000400;
+        } else {
+          ensureWithheldGroupsIsMutable();
+          withheldGroups_.addAll(other.withheldGroups_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -735,6 +890,22 @@
               }
               break;
             } // case 66
+            case 72: {
+              reportId_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              leaseMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 90: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureWithheldGroupsIsMutable();
+              withheldGroups_.add(s);
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1384,6 +1555,241 @@
       return serversBuilder_;
     }
 
+    private long reportId_ ;
+    /**
+     * <pre>
+     * Report that this update answers; 0 if it answers none.
+     * </pre>
+     *
+     * <code>uint64 report_id = 9;</code>
+     * @return The reportId.
+     */
+    @java.lang.Override
+    public long getReportId() {
+      return reportId_;
+    }
+    /**
+     * <pre>
+     * Report that this update answers; 0 if it answers none.
+     * </pre>
+     *
+     * <code>uint64 report_id = 9;</code>
+     * @param value The reportId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReportId(long value) {
+
+      reportId_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Report that this update answers; 0 if it answers none.
+     * </pre>
+     *
+     * <code>uint64 report_id = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReportId() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      reportId_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int leaseMillis_ ;
+    /**
+     * <pre>
+     * Duration of the primary leases, counted from the sending of the report; 0 if no lease is needed.
+     * </pre>
+     *
+     * <code>uint32 lease_millis = 10;</code>
+     * @return The leaseMillis.
+     */
+    @java.lang.Override
+    public int getLeaseMillis() {
+      return leaseMillis_;
+    }
+    /**
+     * <pre>
+     * Duration of the primary leases, counted from the sending of the report; 0 if no lease is needed.
+     * </pre>
+     *
+     * <code>uint32 lease_millis = 10;</code>
+     * @param value The leaseMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaseMillis(int value) {
+
+      leaseMillis_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Duration of the primary leases, counted from the sending of the report; 0 if no lease is needed.
+     * </pre>
+     *
+     * <code>uint32 lease_millis = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaseMillis() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      leaseMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList withheldGroups_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureWithheldGroupsIsMutable() {
+      if (!withheldGroups_.isModifiable()) {
+        withheldGroups_ = new com.google.protobuf.LazyStringArrayList(withheldGroups_);
+      }
+      bitField0_ |= 0x00000400;
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @return A list containing the withheldGroups.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getWithheldGroupsList() {
+      withheldGroups_.makeImmutable();
+      return withheldGroups_;
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @return The count of withheldGroups.
+     */
+    public int getWithheldGroupsCount() {
+      return withheldGroups_.size();
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @param index The index of the element to return.
+     * @return The withheldGroups at the given index.
+     */
+    public java.lang.String getWithheldGroups(int index) {
+      return withheldGroups_.get(index);
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the withheldGroups at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getWithheldGroupsBytes(int index) {
+      return withheldGroups_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @param index The index to set the value at.
+     * @param value The withheldGroups to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithheldGroups(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureWithheldGroupsIsMutable();
+      withheldGroups_.set(index, value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @param value The withheldGroups to add.
+     * @return This builder for chaining.
+     */
+    public Builder addWithheldGroups(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureWithheldGroupsIsMutable();
+      withheldGroups_.add(value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @param values The withheldGroups to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllWithheldGroups(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureWithheldGroupsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, withheldGroups_);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithheldGroups() {
+      withheldGroups_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000400);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups on whose primaries no leases are granted; leases that are held end.
+     * </pre>
+     *
+     * <code>repeated string withheld_groups = 11;</code>
+     * @param value The bytes of the withheldGroups to add.
+     * @return This builder for chaining.
+     */
+    public Builder addWithheldGroupsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureWithheldGroupsIsMutable();
+      withheldGroups_.add(value);
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectoryUpdateMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
@@ -103,4 +103,65 @@
    */
   org.ragwortmoor.protocol.wire.ServerMessageOrBuilder getServersOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Report that this update answers; 0 if it answers none.
+   * </pre>
+   *
+   * <code>uint64 report_id = 9;</code>
+   * @return The reportId.
+   */
+  long getReportId();
+
+  /**
+   * <pre>
+   * Duration of the primary leases, counted from the sending of the report; 0 if no lease is needed.
+   * </pre>
+   *
+   * <code>uint32 lease_millis = 10;</code>
+   * @return The leaseMillis.
+   */
+  int getLeaseMillis();
+
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @return A list containing the withheldGroups.
+   */
+  java.util.List<java.lang.String>
+      getWithheldGroupsList();
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @return The count of withheldGroups.
+   */
+  int getWithheldGroupsCount();
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @param index The index of the element to return.
+   * @return The withheldGroups at the given index.
+   */
+  java.lang.String getWithheldGroups(int index);
+  /**
+   * <pre>
+   * Groups on whose primaries no leases are granted; leases that are held end.
+   * </pre>
+   *
+   * <code>repeated string withheld_groups = 11;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the withheldGroups at the given index.
+   */
+  com.google.protobuf.ByteString
+      getWithheldGroupsBytes(int index);
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
@@ -147,6 +147,36 @@
     return primaries_.get(index);
   }
 
+  public static final int ID_FIELD_NUMBER = 5;
+  private long id_ = 0L;
+  /**
+   * <pre>
+   * Increases with each report of a process.
+   * </pre>
+   *
+   * <code>uint64 id = 5;</code>
+   * @return The id.
+   */
+  @java.lang.Override
+  public long getId() {
+    return id_;
+  }
+
+  public static final int INCARNATION_FIELD_NUMBER = 6;
+  private long incarnation_ = 0L;
+  /**
+   * <pre>
+   * Identifies the process.
+   * </pre>
+   *
+   * <code>fixed64 incarnation = 6;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public long getIncarnation() {
+    return incarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -173,6 +203,12 @@
     for (int i = 0; i < primaries_.size(); i++) {
       output.writeMessage(4, primaries_.get(i));
     }
+    if (id_ != 0L) {
+      output.writeUInt64(5, id_);
+    }
+    if (incarnation_ != 0L) {
+      output.writeFixed64(6, incarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -197,6 +233,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, primaries_.get(i));
     }
+    if (id_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, id_);
+    }
+    if (incarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(6, incarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -220,6 +264,10 @@
         != other.getServersRevision()) return false;
     if (!getPrimariesList()
         .equals(other.getPrimariesList())) return false;
+    if (getId()
+        != other.getId()) return false;
+    if (getIncarnation()
+        != other.getIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -243,6 +291,12 @@
       hash = (37 * hash) + PRIMARIES_FIELD_NUMBER;
       hash = (53 * hash) + getPrimariesList().hashCode();
     }
+    hash = (37 * hash) + ID_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getId());
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -384,6 +438,8 @@
         primariesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      id_ = 0L;
+      incarnation_ = 0L;
       return this;
     }
 
@@ -439,6 +495,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.serversRevision_ = serversRevision_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.id_ = id_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
     }
 
     @java.lang.Override
@@ -490,6 +552,12 @@
           }
         }
       }
+      if (other.getId() != 0L) {
+        setId(other.getId());
+      }
+      if (other.getIncarnation() != 0L) {
+        setIncarnation(other.getIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -544,6 +612,16 @@
               }
               break;
             } // case 34
+            case 40: {
+              id_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 49: {
+              incarnation_ = input.readFixed64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 49
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -937,6 +1015,94 @@
       return primariesBuilder_;
     }
 
+    private long id_ ;
+    /**
+     * <pre>
+     * Increases with each report of a process.
+     * </pre>
+     *
+     * <code>uint64 id = 5;</code>
+     * @return The id.
+     */
+    @java.lang.Override
+    public long getId() {
+      return id_;
+    }
+    /**
+     * <pre>
+     * Increases with each report of a process.
+     * </pre>
+     *
+     * <code>uint64 id = 5;</code>
+     * @param value The id to set.
+     * @return This builder for chaining.
+     */
+    public Builder setId(long value) {
+
+      id_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Increases with each report of a process.
+     * </pre>
+     *
+     * <code>uint64 id = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearId() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      id_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long incarnation_ ;
+    /**
+     * <pre>
+     * Identifies the process.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 6;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+    /**
+     * <pre>
+     * Identifies the process.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 6;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(long value) {
+
+      incarnation_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifies the process.
+     * </pre>
+     *
+     * <code>fixed64 incarnation = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      incarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.NodeReportMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
@@ -57,4 +57,24 @@
    */
   org.ragwortmoor.protocol.wire.PrimaryObservationMessageOrBuilder getPrimariesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Increases with each report of a process.
+   * </pre>
+   *
+   * <code>uint64 id = 5;</code>
+   * @return The id.
+   */
+  long getId();
+
+  /**
+   * <pre>
+   * Identifies the process.
+   * </pre>
+   *
+   * <code>fixed64 incarnation = 6;</code>
+   * @return The incarnation.
+   */
+  long getIncarnation();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/PrimaryObservationMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/PrimaryObservationMessage.java
@@ -149,6 +149,36 @@
     return refused_;
   }
 
+  public static final int HOLDS_LEASE_FIELD_NUMBER = 5;
+  private boolean holdsLease_ = false;
+  /**
+   * <pre>
+   * Whether the proxy holds a lease on a primary of the group.
+   * </pre>
+   *
+   * <code>bool holds_lease = 5;</code>
+   * @return The holdsLease.
+   */
+  @java.lang.Override
+  public boolean getHoldsLease() {
+    return holdsLease_;
+  }
+
+  public static final int NEEDS_LEASE_FIELD_NUMBER = 6;
+  private boolean needsLease_ = false;
+  /**
+   * <pre>
+   * Whether the proxy requests a lease on the server.
+   * </pre>
+   *
+   * <code>bool needs_lease = 6;</code>
+   * @return The needsLease.
+   */
+  @java.lang.Override
+  public boolean getNeedsLease() {
+    return needsLease_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -175,6 +205,12 @@
     if (refused_ != false) {
       output.writeBool(4, refused_);
     }
+    if (holdsLease_ != false) {
+      output.writeBool(5, holdsLease_);
+    }
+    if (needsLease_ != false) {
+      output.writeBool(6, needsLease_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -198,6 +234,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, refused_);
     }
+    if (holdsLease_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, holdsLease_);
+    }
+    if (needsLease_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, needsLease_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -221,6 +265,10 @@
         != other.getSilentMillis()) return false;
     if (getRefused()
         != other.getRefused()) return false;
+    if (getHoldsLease()
+        != other.getHoldsLease()) return false;
+    if (getNeedsLease()
+        != other.getNeedsLease()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -241,6 +289,12 @@
     hash = (37 * hash) + REFUSED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getRefused());
+    hash = (37 * hash) + HOLDS_LEASE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHoldsLease());
+    hash = (37 * hash) + NEEDS_LEASE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getNeedsLease());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -380,6 +434,8 @@
       server_ = "";
       silentMillis_ = 0;
       refused_ = false;
+      holdsLease_ = false;
+      needsLease_ = false;
       return this;
     }
 
@@ -425,6 +481,12 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.refused_ = refused_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.holdsLease_ = holdsLease_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.needsLease_ = needsLease_;
+      }
     }
 
     @java.lang.Override
@@ -455,6 +517,12 @@
       if (other.getRefused() != false) {
         setRefused(other.getRefused());
       }
+      if (other.getHoldsLease() != false) {
+        setHoldsLease(other.getHoldsLease());
+      }
+      if (other.getNeedsLease() != false) {
+        setNeedsLease(other.getNeedsLease());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -501,6 +569,16 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              holdsLease_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              needsLease_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -726,6 +804,94 @@
       return this;
     }
 
+    private boolean holdsLease_ ;
+    /**
+     * <pre>
+     * Whether the proxy holds a lease on a primary of the group.
+     * </pre>
+     *
+     * <code>bool holds_lease = 5;</code>
+     * @return The holdsLease.
+     */
+    @java.lang.Override
+    public boolean getHoldsLease() {
+      return holdsLease_;
+    }
+    /**
+     * <pre>
+     * Whether the proxy holds a lease on a primary of the group.
+     * </pre>
+     *
+     * <code>bool holds_lease = 5;</code>
+     * @param value The holdsLease to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHoldsLease(boolean value) {
+
+      holdsLease_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the proxy holds a lease on a primary of the group.
+     * </pre>
+     *
+     * <code>bool holds_lease = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHoldsLease() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      holdsLease_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean needsLease_ ;
+    /**
+     * <pre>
+     * Whether the proxy requests a lease on the server.
+     * </pre>
+     *
+     * <code>bool needs_lease = 6;</code>
+     * @return The needsLease.
+     */
+    @java.lang.Override
+    public boolean getNeedsLease() {
+      return needsLease_;
+    }
+    /**
+     * <pre>
+     * Whether the proxy requests a lease on the server.
+     * </pre>
+     *
+     * <code>bool needs_lease = 6;</code>
+     * @param value The needsLease to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNeedsLease(boolean value) {
+
+      needsLease_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the proxy requests a lease on the server.
+     * </pre>
+     *
+     * <code>bool needs_lease = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNeedsLease() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      needsLease_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.PrimaryObservationMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/PrimaryObservationMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/PrimaryObservationMessageOrBuilder.java
@@ -45,4 +45,24 @@
    * @return The refused.
    */
   boolean getRefused();
+
+  /**
+   * <pre>
+   * Whether the proxy holds a lease on a primary of the group.
+   * </pre>
+   *
+   * <code>bool holds_lease = 5;</code>
+   * @return The holdsLease.
+   */
+  boolean getHoldsLease();
+
+  /**
+   * <pre>
+   * Whether the proxy requests a lease on the server.
+   * </pre>
+   *
+   * <code>bool needs_lease = 6;</code>
+   * @return The needsLease.
+   */
+  boolean getNeedsLease();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/PromotionMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/PromotionMessage.java
@@ -186,6 +186,21 @@
     return token_;
   }
 
+  public static final int CONFIRMED_FIELD_NUMBER = 5;
+  private boolean confirmed_ = false;
+  /**
+   * <pre>
+   * Whether the platform has confirmed the promotion.
+   * </pre>
+   *
+   * <code>bool confirmed = 5;</code>
+   * @return The confirmed.
+   */
+  @java.lang.Override
+  public boolean getConfirmed() {
+    return confirmed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -212,6 +227,9 @@
     if (token_ != 0L) {
       output.writeUInt64(4, token_);
     }
+    if (confirmed_ != false) {
+      output.writeBool(5, confirmed_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -234,6 +252,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, token_);
     }
+    if (confirmed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, confirmed_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -257,6 +279,8 @@
         .equals(other.getHolder())) return false;
     if (getToken()
         != other.getToken()) return false;
+    if (getConfirmed()
+        != other.getConfirmed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -277,6 +301,9 @@
     hash = (37 * hash) + TOKEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getToken());
+    hash = (37 * hash) + CONFIRMED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirmed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -412,6 +439,7 @@
       server_ = "";
       holder_ = "";
       token_ = 0L;
+      confirmed_ = false;
       return this;
     }
 
@@ -457,6 +485,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.token_ = token_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.confirmed_ = confirmed_;
+      }
     }
 
     @java.lang.Override
@@ -489,6 +520,9 @@
       if (other.getToken() != 0L) {
         setToken(other.getToken());
       }
+      if (other.getConfirmed() != false) {
+        setConfirmed(other.getConfirmed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -535,6 +569,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              confirmed_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -832,6 +871,50 @@
       return this;
     }
 
+    private boolean confirmed_ ;
+    /**
+     * <pre>
+     * Whether the platform has confirmed the promotion.
+     * </pre>
+     *
+     * <code>bool confirmed = 5;</code>
+     * @return The confirmed.
+     */
+    @java.lang.Override
+    public boolean getConfirmed() {
+      return confirmed_;
+    }
+    /**
+     * <pre>
+     * Whether the platform has confirmed the promotion.
+     * </pre>
+     *
+     * <code>bool confirmed = 5;</code>
+     * @param value The confirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmed(boolean value) {
+
+      confirmed_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the platform has confirmed the promotion.
+     * </pre>
+     *
+     * <code>bool confirmed = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmed() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      confirmed_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.PromotionMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/PromotionMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/PromotionMessageOrBuilder.java
@@ -63,4 +63,14 @@
    * @return The token.
    */
   long getToken();
+
+  /**
+   * <pre>
+   * Whether the platform has confirmed the promotion.
+   * </pre>
+   *
+   * <code>bool confirmed = 5;</code>
+   * @return The confirmed.
+   */
+  boolean getConfirmed();
 }
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryCommand.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryCommand.java
@@ -13,6 +13,9 @@
     /** Orders a promotion; its fencing token is the log index of this command. */
     record OrderPromotion(String group, String server, String holder) implements DirectoryCommand {}
 
+    /** Records that the platform has confirmed the promotion with this fencing token. */
+    record ConfirmPromotion(String group, long token) implements DirectoryCommand {}
+
     /** Stores the number of proxies in the system. */
     record CountProxies(int proxies) implements DirectoryCommand {}
 
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -43,15 +43,16 @@
             return putServer(put.server(), index);
         }
         if (command instanceof DirectoryCommand.OrderPromotion order) {
-            Promotion promotion =
-                    new Promotion(order.group(), order.server(), order.holder(), index);
-            return new DirectoryState(
-                    routes,
-                    routesRevision,
-                    servers,
-                    index,
-                    promotions.put(order.group(), promotion),
-                    proxies);
+            return withPromotion(
+                    new Promotion(order.group(), order.server(), order.holder(), index, false),
+                    index);
+        }
+        if (command instanceof DirectoryCommand.ConfirmPromotion confirmation) {
+            return promotions
+                    .get(confirmation.group())
+                    .filter(p -> p.token() == confirmation.token())
+                    .map(p -> withPromotion(p.confirm(), serversRevision))
+                    .getOrElse(this);
         }
         if (command instanceof DirectoryCommand.CountProxies count) {
             return new DirectoryState(
@@ -60,6 +61,16 @@
         return this;
     }
 
+    private DirectoryState withPromotion(Promotion promotion, long changedServersRevision) {
+        return new DirectoryState(
+                routes,
+                routesRevision,
+                servers,
+                changedServersRevision,
+                promotions.put(promotion.group(), promotion),
+                proxies);
+    }
+
     private DirectoryState putServer(ServerRecord server, long index) {
         ServerRecord known = servers.get(server.id()).getOrNull();
         if (known != null && !ServerPrecedence.replaces(server, known)) {
@@ -82,7 +93,8 @@
         // A server that was restarted under the same id has no data and is no longer primary.
         boolean restarted = known != null && known.startedAtMillis() != server.startedAtMillis();
         Map<String, Promotion> kept =
-                promotions.filterValues(p -> !(restarted && p.server().equals(server.id())));
+                promotions.mapValues(
+                        p -> restarted && p.server().equals(server.id()) ? p.withoutServer() : p);
         return new DirectoryState(routes, routesRevision, changed, index, kept, proxies);
     }
 
@@ -99,17 +111,16 @@
     }
 
     /**
-     * Returns the primary of a group. Only ordered promotions change it, so the server of the
-     * newest order takes precedence over announcements, which may be delayed. Without an order it
-     * is the server that last announced itself as primary.
+     * Returns the primary of a group. Once a promotion was ordered, it is the server of the newest
+     * order, or none if that server has ended: a server that was replaced may still announce itself
+     * as primary. Before the first order it is the server that last announced itself as primary.
      */
     public Option<ServerRecord> primary(String group) {
-        for (Promotion ordered : promotions.get(group)) {
-            for (ServerRecord server : servers.get(ordered.server())) {
-                if (server.state() != ServerState.GONE) {
-                    return Option.some(server);
-                }
-            }
+        if (promotions.containsKey(group)) {
+            return promotions
+                    .get(group)
+                    .flatMap(ordered -> servers.get(ordered.server()))
+                    .filter(server -> server.state() != ServerState.GONE);
         }
         ServerRecord newest = null;
         for (ServerRecord server : members(group)) {
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -19,7 +19,7 @@
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     private static final int PROXIES = 7;
 
-    private final FailoverCoordinator failover = new FailoverCoordinator();
+    private final FailoverCoordinator failover = new FailoverCoordinator(new PrimaryLeaseTable(0));
     private DirectoryState state = DirectoryState.EMPTY;
     private long index;
     private long now = 1_000 * MILLI;
--- a/core/src/test/java/org/ragwortmoor/coordination/session/Deployment.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/Deployment.java
@@ -17,6 +17,7 @@
     private long revision = 1;
 
     Deployment() {
+        engine.setLeasesRequired(false);
         updateDirectory(routes(1), "s1");
         tick();
         // Long enough for the first proof of leadership.
--- a/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
@@ -98,6 +98,10 @@
         return this;
     }
 
+    boolean leader() {
+        return leader;
+    }
+
     FakeServer setLeader(boolean newValue) {
         leader = newValue;
         return this;
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
@@ -117,7 +117,7 @@
     void silenceOfThePrimaryIsReported() {
         deployment.s1.setUnresponsive(true);
         deployment.host.advance(1_200);
-        SessionEngine.PrimaryObservation seen = deployment.engine.observations().get(0);
+        SessionEngine.PrimaryObservation seen = deployment.engine.observations(1).get(0);
         assertThat(seen.server()).isEqualTo("s1");
         assertThat(seen.silentNanos()).isGreaterThan(500_000_000L);
     }
@@ -126,7 +126,7 @@
     void aHealthyPrimaryIsNeverReportedSilent() {
         for (int i = 0; i < 100; i++) {
             deployment.host.advance(37);
-            assertThat(deployment.engine.observations().get(0).silentNanos())
+            assertThat(deployment.engine.observations(1).get(0).silentNanos())
                     .isLessThan(100_000_000L);
         }
     }
@@ -164,7 +164,7 @@
         }
         deployment.host.advance(6_000);
         assertThat(deployment.s1.openSessions()).isLessThanOrEqualTo(4);
-        assertThat(deployment.engine.observations().get(0).refused()).isFalse();
+        assertThat(deployment.engine.observations(1).get(0).refused()).isFalse();
     }
 
     @Test
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionHistory.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,27 +14,39 @@
  * violated guarantees.
  *
  * <p>A commit must be visible from the time at which its caller received the acknowledgement.
- * Commits that a promotion rolled back are no longer required.
+ * Commits that a promotion rolled back are no longer required. A read inside a transaction must see
+ * what was acknowledged before the transaction began.
  */
 final class SessionHistory {
     private static final Set<String> NOT_EXECUTED_CODES =
             Set.of("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD");
 
-    /** A statement sent by a caller. */
-    private record Request(Object session, String database, String text, long sentAt) {}
+    /**
+     * A statement sent by a caller.
+     *
+     * @param since time at which it was sent or, inside a transaction, at which that began
+     */
+    private record Request(Object session, String database, String text, long since) {}
 
     private record Commit(Object session, Position position, long acknowledgedAt) {}
 
     private record Refusal(String id, Position position) {}
 
     private final Map<String, Request> requests = new HashMap<>();
+    private final Map<Object, Long> transactionsBegunAt = new HashMap<>();
     private final Map<String, List<Position>> committed = new HashMap<>();
+    private final Set<String> committedByReplacedPrimary = new HashSet<>();
     private final List<Commit> acknowledged = new ArrayList<>();
     private final List<Refusal> refusals = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
+    private long currentTerm = 1;
 
     void recordRequest(Object session, String database, String id, String text, long now) {
-        requests.put(id, new Request(session, database, text, now));
+        if (text.equals("BEGIN")) {
+            transactionsBegunAt.putIfAbsent(session, now);
+        }
+        long since = transactionsBegunAt.getOrDefault(session, now);
+        requests.put(id, new Request(session, database, text, since));
     }
 
     /** Records an execution on a server; {@code log} is its log position before the statement. */
@@ -46,6 +59,9 @@
         if (commit != null) {
             List<Position> executions = committed.computeIfAbsent(id, i -> new ArrayList<>());
             executions.add(commit);
+            if (commit.term() < currentTerm) {
+                committedByReplacedPrimary.add(id);
+            }
             if (executions.size() > 1) {
                 violations.add(id + " took effect twice: " + executions);
             }
@@ -59,7 +75,7 @@
         for (Commit commit : acknowledged) {
             boolean ownWrite = read.database().equals("own") && commit.session() == read.session();
             long staleness = ownWrite ? 0 : maxStalenessNanos(read.database());
-            boolean mustBeVisible = commit.acknowledgedAt() < read.sentAt() - staleness;
+            boolean mustBeVisible = commit.acknowledgedAt() < read.since() - staleness;
             if (mustBeVisible && log.compareTo(commit.position()) < 0) {
                 violations.add(
                         id + " on " + server.record().id() + " at " + log + " lacks " + commit);
@@ -81,7 +97,13 @@
         if (NOT_EXECUTED_CODES.contains(code)) {
             refusals.add(new Refusal(id, Position.ZERO));
         }
+        if (answer.contains("READY I")) {
+            transactionsBegunAt.remove(requests.get(id).session());
+        }
         List<Position> executions = committed.get(id);
+        if (answer.contains("COMPLETE signed-") && committedByReplacedPrimary.contains(id)) {
+            violations.add(id + " was committed by a replaced primary and acknowledged");
+        }
         if (answer.contains("COMPLETE signed-") && executions != null) {
             acknowledged.add(new Commit(requests.get(id).session(), executions.get(0), now));
         }
@@ -91,8 +113,14 @@
         }
     }
 
-    /** Records a promotion, which discards every commit that the new leader had not received. */
-    void recordPromotion(Position kept) {
+    /**
+     * Records a promotion, which discards every commit that the new leader had not received.
+     *
+     * @param kept last position of the new leader's log
+     * @param term term of the new leader
+     */
+    void recordPromotion(Position kept, long term) {
+        currentTerm = term;
         acknowledged.removeIf(commit -> commit.position().compareTo(kept) > 0);
     }
 
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionHistoryTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionHistoryTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -15,12 +18,14 @@
 
 /**
  * Runs random statements, faults and promotions at two proxies and checks that no read is staler
- * than its route allows, no write takes effect twice, and no write that took effect was reported as
- * not executed.
+ * than its route allows, no write takes effect twice, no write that took effect was reported as not
+ * executed, and no write of a replaced primary was acknowledged. Either the platform deposes a
+ * replaced primary, or it goes on and the proxies need leases.
  */
 class SessionHistoryTest {
     private static final int RUNS_PER_BLOCK = 60;
     private static final int STEPS_PER_RUN = 400;
+    private static final long LEASE_MILLIS = 1_000;
     private static final List<String> DATABASES = List.of("strong", "bounded", "own");
 
     /** A simulated deployment whose callers and faults are determined by a seed. */
@@ -34,12 +39,16 @@
         private final List<Client> clients = new ArrayList<>();
         private final Set<FakeServer> notReplicating = new HashSet<>();
         private final boolean[] disconnectedFromDirectory = new boolean[2];
+        private final LeaseDirectory leases;
         private FakeServer primary;
+        private final Map<FakeServer, Position> commonPrefix = new HashMap<>();
+        private Option<FakeServer> nextPrimary = Option.none();
         private long revision;
         private int successes;
 
-        Simulation(long seed) {
+        Simulation(long seed, long leaseMillis) {
             random = new SplittableRandom(seed);
+            leases = new LeaseDirectory(host, random, leaseMillis);
             for (int i = 1; i <= 3; i++) {
                 FakeServer server =
                         new FakeServer(host, "s" + i, "abc".substring(i - 1, i), i == 1);
@@ -53,8 +62,13 @@
                         new SessionEngine(
                                 host.proxy(unreachable.get(i)), zone, new NoOpDecisionLog()));
             }
+            engines.forEach(engine -> engine.setLeasesRequired(leaseMillis > 0));
             distributeDirectory();
             engines.forEach(this::tick);
+            for (int i = 0; i < engines.size(); i++) {
+                int proxy = i;
+                leases.addProxy("p" + i, engines.get(i), () -> !disconnectedFromDirectory[proxy]);
+            }
             host.advance(600);
             for (int i = 0; i < 12; i++) {
                 clients.add(new Client(engines.get(i % 2), DATABASES.get(i % 3)));
@@ -85,6 +99,7 @@
             for (int step = 0; step < STEPS_PER_RUN; step++) {
                 injectFault(random.nextInt(100));
                 replicate();
+                promoteIfUnused();
                 clients.get(random.nextInt(clients.size())).act();
                 host.advance(random.nextInt(1, 25));
                 clients.forEach(Client::collect);
@@ -126,6 +141,7 @@
                                 && !primary.unresponsive()
                                 && !server.refusesConnections();
                 if (server != primary
+                        && !server.leader()
                         && reachable
                         && !primary.refusesConnections()
                         && !notReplicating.contains(server)) {
@@ -136,20 +152,53 @@
 
         private void promote() {
             FakeServer next = servers.get(random.nextInt(servers.size()));
-            if (next == primary || next.refusesConnections()) {
+            if (next == primary || next.refusesConnections() || next.leader()) {
+                return;
+            }
+            leases.withhold();
+            nextPrimary = Option.some(next);
+        }
+
+        /** Carries out the promotion once no proxy may use the present primary any more. */
+        private void promoteIfUnused() {
+            if (nextPrimary.isEmpty() || leases.outstanding()) {
                 return;
             }
+            FakeServer next = nextPrimary.get();
+            nextPrimary = Option.none();
             Position kept = next.position();
-            history.recordPromotion(kept);
-            primary.setLeader(false);
-            long term = primary.position().term() + 1;
+            FakeServer replaced = primary;
+            long term = replaced.position().term() + 1;
+            history.recordPromotion(kept, term);
             next.setLeader(true).setPosition(term, kept.index());
             primary = next;
-            // Entries of other servers beyond the log of the new leader are rolled back.
-            servers.stream()
-                    .filter(s -> s.position().index() > kept.index() && s != next)
-                    .forEach(s -> s.setPosition(kept.term(), kept.index()));
+            if (leases.required()) {
+                host.afterMillis(random.nextInt(3_000), () -> demote(replaced));
+            } else {
+                demote(replaced);
+            }
+            servers.forEach(server -> rollBack(server, kept));
             distributeDirectory();
+            leases.resume();
+        }
+
+        /** Makes a replaced primary a replica of the present one. */
+        private void demote(FakeServer replaced) {
+            if (replaced != primary && replaced.leader()) {
+                replaced.setLeader(false);
+                rollBack(replaced, commonPrefix.getOrDefault(replaced, replaced.position()));
+            }
+        }
+
+        /** Rolls back the entries beyond the log of the new leader; a leader keeps its own. */
+        private void rollBack(FakeServer server, Position kept) {
+            if (server == primary) {
+                commonPrefix.remove(server);
+            } else if (server.leader()) {
+                commonPrefix.merge(server, kept, (a, b) -> a.compareTo(b) < 0 ? a : b);
+            } else if (server.position().compareTo(kept) > 0) {
+                server.setPosition(kept.term(), kept.index());
+            }
         }
 
         private final class Client {
@@ -196,10 +245,20 @@
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
-    void guaranteesHoldAcrossPromotionsPartitionsAndRestarts(long block) {
+    void guaranteesHoldIfThePlatformDeposesReplacedPrimaries(long block) {
+        run(block, 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void guaranteesHoldIfReplacedPrimariesGoOn(long block) {
+        run(block, LEASE_MILLIS);
+    }
+
+    private static void run(long block, long leaseMillis) {
         for (int i = 0; i < RUNS_PER_BLOCK; i++) {
             long seed = block * 1_000 + i;
-            Simulation simulation = new Simulation(seed);
+            Simulation simulation = new Simulation(seed, leaseMillis);
             simulation.run();
             assertThat(simulation.history.violations()).as("seed %s", seed).isEmpty();
             assertThat(simulation.successes).as("seed %s", seed).isPositive();
@@ -217,8 +276,17 @@
         history.recordExecution(server, "r", "READ x", new Position(1, 1), null);
         history.recordExecution(server, "w", "WRITE x 1", new Position(1, 2), new Position(1, 3));
         history.recordAnswer("w", "ERROR BUSY s1; READY I -", 40);
+        history.recordRequest("c", "strong", "z", "WRITE x 2", 50);
+        history.recordPromotion(new Position(1, 9), 2);
+        history.recordExecution(server, "z", "WRITE x 2", new Position(1, 4), new Position(1, 5));
+        history.recordAnswer("z", "COMPLETE signed-s1; READY I 1.5", 60);
         history.recordExecution(server, "u", "READ x", new Position(1, 2), null);
         assertThat(String.join("\n", history.violations()))
-                .contains("lacks", "took effect twice", "was refused but took effect", "no caller");
+                .contains(
+                        "lacks",
+                        "took effect twice",
+                        "was refused but took effect",
+                        "no caller",
+                        "replaced primary");
     }
 }
