Send the rollback behind a read on the primary

Cause: a read on a primary route runs inside a transaction of the proxy. The rollback was sent only after the read was answered, so the connection was busy for another round trip and the exchange took two more packets between failure domains; the same held for each probe of a primary.

Change: the rollback follows the statement in the same flight. A rollback that is answered with an error outside a transaction releases the connection too. The fake server of the tests executes the statements of a connection one after the other.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
@@ -281,6 +281,16 @@
                             .getOrElse("");
             connection.execute(
                     statement.id(), after + text, statement.deadline(), this::handleResult);
+            if (leaderRead) {
+                ConnectionCleanup.rollbackAndReleaseAfter(connection, statement.deadline());
+            }
+        }
+
+        /** Releases the connection, unless the rollback behind the read does. */
+        private void release(String state) {
+            if (!leaderRead) {
+                ConnectionCleanup.rollbackIfNeededAndRelease(connection, state, host);
+            }
         }
 
         private void handleResult(ExchangeResult result) {
@@ -292,7 +302,7 @@
                     connection.markReset();
                     connection.invalidateValues();
                 }
-                ConnectionCleanup.rollbackIfNeededAndRelease(connection, failed.state(), host);
+                release(failed.state());
                 handleFailed(failed);
             } else {
                 handleLost((ExchangeResult.Lost) result);
@@ -309,7 +319,7 @@
             boolean leaseLost =
                     !statement.isRead() && !group.mayPassOnAnswer(connection.server(), leaseAtSend);
             if (leaseLost) {
-                ConnectionCleanup.rollbackIfNeededAndRelease(connection, completed.state(), host);
+                release(completed.state());
                 handleLost(new ExchangeResult.Lost("the lease on the primary has ended"));
                 return;
             }
@@ -321,7 +331,7 @@
                         clockOffsetAtRequest);
             }
             succeed(completed);
-            ConnectionCleanup.rollbackIfNeededAndRelease(connection, completed.state(), host);
+            release(completed.state());
         }
 
         private void handleFailed(ExchangeResult.Failed failed) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionCleanup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionCleanup.java
@@ -11,18 +11,35 @@
 
     /** Rolls back and releases the connection; closes it if the rollback fails. */
     static void rollbackAndRelease(ServerConnection connection, SessionHost host) {
+        rollbackAndReleaseAfter(connection, host.now());
+    }
+
+    /**
+     * Sends a rollback behind the statements in progress, and releases the connection after it.
+     * This saves a round trip to a server in another failure domain.
+     *
+     * @param deadline deadline of the last statement in progress
+     */
+    static void rollbackAndReleaseAfter(ServerConnection connection, long deadline) {
         connection.execute(
                 ServerConnection.PROXY_STATEMENT_ID,
                 "ROLLBACK",
-                host.now() + ROLLBACK_TIMEOUT_NANOS,
-                result -> {
-                    if (result instanceof ExchangeResult.Completed completed
-                            && completed.state().equals(ExchangeResult.IDLE)) {
-                        connection.server().release(connection);
-                    } else if (!(result instanceof ExchangeResult.Lost)) {
-                        connection.close("rollback failed");
-                    }
-                });
+                deadline + ROLLBACK_TIMEOUT_NANOS,
+                result -> releaseIfIdle(connection, result));
+    }
+
+    /** Releases a connection outside a transaction; a rollback of nothing may be an error. */
+    private static void releaseIfIdle(ServerConnection connection, ExchangeResult result) {
+        boolean idle =
+                result instanceof ExchangeResult.Completed completed
+                        ? completed.state().equals(ExchangeResult.IDLE)
+                        : result instanceof ExchangeResult.Failed failed
+                                && failed.state().equals(ExchangeResult.IDLE);
+        if (idle) {
+            connection.server().release(connection);
+        } else if (!(result instanceof ExchangeResult.Lost)) {
+            connection.close("rollback failed");
+        }
     }
 
     /** Releases a connection, after a rollback if its transaction state is not idle. */
--- a/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
@@ -199,6 +199,8 @@
                     done.run();
                     handleProbeResult(connection, result, requestedAt, clockOffset);
                 });
+        ConnectionCleanup.rollbackAndReleaseAfter(
+                connection, requestedAt + SessionSettings.PROBE_TIMEOUT_NANOS);
     }
 
     private void handleProbeResult(
@@ -211,12 +213,9 @@
                 group.recordProof(
                         connection.server(), completed.position(), requestedAt, clockOffset);
             }
-            ConnectionCleanup.rollbackAndRelease(connection, host);
-        } else if (result instanceof ExchangeResult.Failed failed) {
-            if (failed.code().equals("READONLY")) {
-                recordDenial(connection.server());
-            }
-            ConnectionCleanup.rollbackIfNeededAndRelease(connection, failed.state(), host);
+        } else if (result instanceof ExchangeResult.Failed failed
+                && failed.code().equals("READONLY")) {
+            recordDenial(connection.server());
         }
     }
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
@@ -1,6 +1,8 @@
 package org.ragwortmoor.coordination.session;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -168,6 +170,8 @@
         private final Map<String, String> values = new HashMap<>();
         private final Set<String> prepared = new HashSet<>();
         private String state = "I";
+        private final Deque<StatementMessage> queue = new ArrayDeque<>();
+        private boolean executing;
         private boolean wrote;
         private boolean inLeaderTransaction;
 
@@ -192,6 +196,15 @@
                 }
                 return;
             }
+            // Statements of a connection are executed one after the other.
+            if (executing) {
+                queue.add(message);
+                return;
+            }
+            query(message);
+        }
+
+        private void query(StatementMessage message) {
             String id = message.field(0);
             String text = message.field(1);
             String[] words = text.split(" ");
@@ -236,7 +249,22 @@
                     prepared.add(words[1]);
                     complete("-");
                 }
-                default -> host.afterMillis(workMillis, () -> execute(id, text, words));
+                default -> {
+                    executing = true;
+                    host.afterMillis(
+                            workMillis,
+                            () -> {
+                                executing = false;
+                                execute(id, text, words);
+                                continueWithQueue();
+                            });
+                }
+            }
+        }
+
+        private void continueWithQueue() {
+            while (!executing && !queue.isEmpty()) {
+                query(queue.poll());
             }
         }
 
