Push only the changes of routes and servers, collected for 40 ms

Cause: each announcement and each configuration sent all servers or all routes to every proxy.

Change: a proxy that knows a recent revision gets the difference to it, encoded once for all proxies with that revision; changes within 40 ms share one push. A change of another revision than the proxy's is ignored, and its next report shows what it lacks.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
@@ -24,8 +24,6 @@
 import org.ragwortmoor.protocol.wire.NeighbourMessage;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.protocol.wire.PrimaryObservationMessage;
-import org.ragwortmoor.state.directory.ServerRecord;
-import org.ragwortmoor.state.routes.RouteTable;
 import org.ragwortmoor.transport.PeerClient;
 import org.ragwortmoor.transport.PeerListener;
 import org.slf4j.Logger;
@@ -253,32 +251,17 @@
     /** Returns the current view with the changes of an update applied. */
     private Option<DirectoryView> mergedView(DirectoryUpdateMessage update) {
         DirectoryView current = engine.view();
-        boolean routesChanged = update.hasRoutes();
-        boolean serversChanged = update.getHasServers();
-        Either<ProtocolError, RouteTable> table =
-                routesChanged
-                        ? DirectoryCodec.decodeRoutes(update.getRoutes())
-                        : Either.right(current.routes());
-        Either<ProtocolError, List<ServerRecord>> records =
-                serversChanged
-                        ? DirectoryCodec.decodeServers(update.getServersList())
-                        : Either.right(current.servers());
-        return table.flatMap(
-                        t ->
-                                records.map(
-                                        r ->
-                                                new DirectoryView(
-                                                        t,
-                                                        routesChanged
-                                                                ? update.getRoutesRevision()
-                                                                : current.routesRevision(),
-                                                        r,
-                                                        serversChanged
-                                                                ? update.getServersRevision()
-                                                                : current.serversRevision(),
-                                                        fleet)))
-                .peekLeft(e -> LOG.warn("event=update_ignored reason=\"{}\"", e))
-                .toOption();
+        Either<ProtocolError, DirectoryView> merged =
+                ViewUpdate.apply(update, current)
+                        .map(
+                                view ->
+                                        new DirectoryView(
+                                                view.routes(),
+                                                view.routesRevision(),
+                                                view.servers(),
+                                                view.serversRevision(),
+                                                fleet));
+        return merged.peekLeft(e -> LOG.warn("event=update_ignored reason=\"{}\"", e)).toOption();
     }
 
     private String revisions() {
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -262,6 +262,7 @@
 
         @Override
         public void applied(DirectoryCommand command, long index) {
+            leaderDuties.follow();
             if (leading) {
                 leaderDuties.applied(command, index);
             }
--- a/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
+++ b/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
@@ -58,6 +58,7 @@
     void tick(long now) {
         promotionExecutor.tick(node.state(), now);
         countProxies(now);
+        proxies.pushUpdates(node.state(), memberAddresses(), now);
     }
 
     /** Handles the commit of a command. */
@@ -66,7 +67,11 @@
                 && order.holder().equals(promotionExecutor.self())) {
             promotionExecutor.orderCommitted(order.group(), order.server(), index);
         }
-        proxies.pushUpdates(node.state(), memberAddresses());
+    }
+
+    /** Follows the changes of the directory, also while another process leads. */
+    void follow() {
+        proxies.follow(node.state());
     }
 
     /** Answers the report of a proxy. */
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -9,7 +9,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
-import org.ragwortmoor.protocol.DirectoryCodec;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
 import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
@@ -17,8 +16,6 @@
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.FleetSize;
-import org.ragwortmoor.state.directory.ServerRecord;
-import org.ragwortmoor.state.directory.ServerState;
 import org.ragwortmoor.transport.PeerListener;
 
 /**
@@ -40,10 +37,14 @@
     private static final long HASH_FACTOR = 0x100000001b3L;
 
     private final PrimaryLeaseTable leases;
+    private final UpdateContents contents = new UpdateContents();
     private final Map<String, ProxyEntry> proxies = new HashMap<>();
     private final Map<String, ProxyEntry> earlyReports = new HashMap<>();
     private long electedAt;
     private long decreaseSince;
+    private long pushedRoutesRevision;
+    private long pushedServersRevision;
+    private Option<Long> pushAt = Option.none();
 
     /** Time after its last report for which a proxy may hold connections for others. */
     private static final long NEIGHBOUR_EXPIRY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
@@ -54,6 +55,9 @@
     /** Time after an election before a proxy without neighbours is told of any. */
     private static final long FIRST_NEIGHBOURS_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /** Time for which changes are collected before they are pushed to the proxies. */
+    private static final long PUSH_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
     private static final class ProxyEntry {
         NodeReportMessage report;
         PeerListener.Reply reply;
@@ -197,9 +201,27 @@
         proxies.values().forEach(entry -> send(entry, 0, state, members, now));
     }
 
-    /** Sends an update to every proxy that has not received the latest changes. */
-    void pushUpdates(DirectoryState state, List<String> members) {
-        long now = System.nanoTime();
+    /**
+     * Sends an update to every proxy that has not received the latest changes. Changes within a
+     * short time share one update.
+     */
+    void pushUpdates(DirectoryState state, List<String> members, long now) {
+        boolean changed =
+                state.routesRevision() != pushedRoutesRevision
+                        || state.serversRevision() != pushedServersRevision;
+        if (!changed) {
+            pushAt = Option.none();
+            return;
+        }
+        if (pushAt.isEmpty()) {
+            pushAt = Option.some(now + PUSH_DELAY_NANOS);
+        }
+        if (now - pushAt.get() < 0) {
+            return;
+        }
+        pushAt = Option.none();
+        pushedRoutesRevision = state.routesRevision();
+        pushedServersRevision = state.serversRevision();
         for (ProxyEntry entry : proxies.values()) {
             if (entry.routesRevision < state.routesRevision()
                     || entry.serversRevision < state.serversRevision()) {
@@ -208,6 +230,11 @@
         }
     }
 
+    /** Follows the changes of the directory, also while another process leads. */
+    void follow(DirectoryState state) {
+        contents.setState(state);
+    }
+
     private void send(
             ProxyEntry entry, long reportId, DirectoryState state, List<String> members, long now) {
         DirectoryUpdateMessage.Builder update =
@@ -216,8 +243,6 @@
                         .setProxies(state.fleet().proxies())
                         .setDomains(state.fleet().domains())
                         .setNeedsIdentity(entry.address.isEmpty())
-                        .setRoutesRevision(state.routesRevision())
-                        .setServersRevision(state.serversRevision())
                         .setReportId(reportId)
                         .setLeaseMillis((int) leases.durationMillis())
                         .addAllWithheldGroups(leases.withheld());
@@ -226,19 +251,9 @@
             entry.membersSent = members;
         }
         addNeighbours(entry, update, now);
-        if (entry.routesRevision < state.routesRevision()) {
-            update.setRoutes(DirectoryCodec.encode(state.routes(), false));
-        }
-        if (entry.serversRevision < state.serversRevision()) {
-            update.setHasServers(true);
-            for (ServerRecord server : state.servers().values()) {
-                if (server.state() != ServerState.GONE) {
-                    boolean primary =
-                            state.primary(server.group()).exists(p -> p.id().equals(server.id()));
-                    update.addServers(DirectoryCodec.encode(server.withPrimary(primary)));
-                }
-            }
-        }
+        contents.setState(state);
+        contents.addRoutes(update, entry.routesRevision);
+        contents.addServers(update, entry.serversRevision);
         // If the update is lost, the next report of the proxy restores its actual revisions.
         entry.routesRevision = state.routesRevision();
         entry.serversRevision = state.serversRevision();
--- a/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -14,6 +14,7 @@
 import org.ragwortmoor.protocol.wire.PromotionConfirmationMessage;
 import org.ragwortmoor.protocol.wire.PromotionMessage;
 import org.ragwortmoor.protocol.wire.RouteMessage;
+import org.ragwortmoor.protocol.wire.RouteTableChangeMessage;
 import org.ragwortmoor.protocol.wire.RouteTableMessage;
 import org.ragwortmoor.protocol.wire.ServerMessage;
 import org.ragwortmoor.state.directory.DirectoryCommand;
@@ -26,6 +27,7 @@
 import org.ragwortmoor.state.routes.Route;
 import org.ragwortmoor.state.routes.RouteKind;
 import org.ragwortmoor.state.routes.RouteTable;
+import org.ragwortmoor.state.routes.RouteTableChange;
 
 /** Converts the replicated directory and its commands to and from protobuf. */
 public final class DirectoryCodec {
@@ -158,16 +160,59 @@
         for (Route route : table.routes()) {
             builder.addRoutes(encode(route));
         }
-        for (GroupLimits group : table.groups()) {
-            builder.addGroups(
-                    GroupLimitsMessage.newBuilder()
-                            .setName(group.name())
-                            .setMaxConnections(group.maxConnections())
-                            .setSyncReplicas(group.syncReplicas()));
-        }
+        table.groups().forEach(group -> builder.addGroups(encode(group)));
         return withSource ? builder.setSource(table.source()).build() : builder.build();
     }
 
+    /** Encodes a change of the route table with this revision. */
+    public static RouteTableChangeMessage encode(RouteTableChange change, long baseRevision) {
+        RouteTableChangeMessage.Builder builder =
+                RouteTableChangeMessage.newBuilder()
+                        .setBaseRevision(baseRevision)
+                        .setVersion(change.version())
+                        .addAllRemoved(change.removed())
+                        .setIdleTransactionMillis(change.idleTransactionMillis());
+        change.changed().forEach(route -> builder.addChanged(encode(route)));
+        change.groups().forEach(group -> builder.addGroups(encode(group)));
+        return builder.build();
+    }
+
+    /** Decodes a change, or returns an error that names the invalid field. */
+    public static Either<ProtocolError, RouteTableChange> decodeChange(
+            RouteTableChangeMessage message) {
+        return MalformedException.tryConvert(
+                () ->
+                        new RouteTableChange(
+                                message.getVersion(),
+                                message.getRemovedList(),
+                                decodeRouteList(message.getChangedList()),
+                                decodeGroups(message.getGroupsList()),
+                                message.getIdleTransactionMillis()));
+    }
+
+    private static GroupLimitsMessage encode(GroupLimits group) {
+        return GroupLimitsMessage.newBuilder()
+                .setName(group.name())
+                .setMaxConnections(group.maxConnections())
+                .setSyncReplicas(group.syncReplicas())
+                .build();
+    }
+
+    private static List<GroupLimits> decodeGroups(List<GroupLimitsMessage> groups) {
+        return groups.stream()
+                .map(g -> new GroupLimits(g.getName(), g.getMaxConnections(), g.getSyncReplicas()))
+                .toList();
+    }
+
+    private static List<Route> decodeRouteList(List<RouteMessage> messages)
+            throws MalformedException {
+        List<Route> routes = new ArrayList<>();
+        for (RouteMessage route : messages) {
+            routes.add(decode(route));
+        }
+        return routes;
+    }
+
     /** Encodes a route. */
     static RouteMessage encode(Route route) {
         return RouteMessage.newBuilder()
@@ -197,23 +242,10 @@
     }
 
     private static RouteTable decode(RouteTableMessage message) throws MalformedException {
-        List<Route> routes = new ArrayList<>();
-        for (RouteMessage route : message.getRoutesList()) {
-            routes.add(decode(route));
-        }
-        List<GroupLimits> groups =
-                message.getGroupsList().stream()
-                        .map(
-                                g ->
-                                        new GroupLimits(
-                                                g.getName(),
-                                                g.getMaxConnections(),
-                                                g.getSyncReplicas()))
-                        .toList();
         return new RouteTable(
                 message.getVersion(),
-                routes,
-                groups,
+                decodeRouteList(message.getRoutesList()),
+                decodeGroups(message.getGroupsList()),
                 message.getIdleTransactionMillis(),
                 message.getSource());
     }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -81,6 +81,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragwortmoor_directory_NodeReportMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_RouteTableChangeMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragwortmoor_directory_NeighbourMessage_descriptor;
   static final 
@@ -175,41 +180,49 @@
       "tory.PrimaryObservationMessage\022\n\n\002id\030\005 \001" +
       "(\004\022\023\n\013incarnation\030\006 \001(\006\022\016\n\006domain\030\007 \001(\t\022" +
       "\032\n\022forwarding_address\030\010 \001(\t\022\027\n\017neighbour" +
-      "s_hash\030\t \001(\006\022\020\n\010stopping\030\n \001(\010\"1\n\020Neighb" +
-      "ourMessage\022\014\n\004name\030\001 \001(\t\022\017\n\007address\030\002 \001(" +
-      "\t\"\304\003\n\026DirectoryUpdateMessage\022\016\n\006leader\030\001" +
-      " \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxies\030\003 \001(\r\022\027" +
-      "\n\017routes_revision\030\004 \001(\004\0228\n\006routes\030\005 \001(\0132" +
-      "(.ragwortmoor.directory.RouteTableMessag" +
-      "e\022\030\n\020servers_revision\030\006 \001(\004\022\023\n\013has_serve" +
-      "rs\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.ragwortmoor." +
-      "directory.ServerMessage\022\021\n\treport_id\030\t \001" +
-      "(\004\022\024\n\014lease_millis\030\n \001(\r\022\027\n\017withheld_gro" +
-      "ups\030\013 \003(\t\022\017\n\007domains\030\014 \001(\r\022\027\n\017neighbours" +
-      "_hash\030\r \001(\006\022;\n\nneighbours\030\016 \003(\0132\'.ragwor" +
-      "tmoor.directory.NeighbourMessage\022\026\n\016need" +
-      "s_identity\030\017 \001(\010\"A\n\013JoinMessage\022\014\n\004node\030" +
-      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\017\n\007address\030\003 " +
-      "\001(\t\"\321\001\n\027ForwardedRequestMessage\022\n\n\002id\030\001 " +
-      "\001(\004\022>\n\nput_routes\030\002 \001(\0132(.ragwortmoor.di" +
-      "rectory.RouteTableMessageH\000\022H\n\014announcem" +
-      "ent\030\003 \001(\01320.ragwortmoor.directory.Server" +
-      "AnnouncementMessageH\000\022\025\n\013read_routes\030\004 \001" +
-      "(\010H\000B\t\n\007request\"c\n\031ServerAnnouncementMes" +
-      "sage\0224\n\006server\030\001 \001(\0132$.ragwortmoor.direc" +
-      "tory.ServerMessage\022\020\n\010sequence\030\002 \001(\004\"E\n\026" +
-      "ForwardedAnswerMessage\022\n\n\002id\030\001 \001(\004\022\017\n\007ou" +
-      "tcome\030\002 \001(\t\022\016\n\006source\030\003 \001(\t\"\317\002\n\020Director" +
-      "yMessage\022:\n\006report\030\001 \001(\0132(.ragwortmoor.d" +
-      "irectory.NodeReportMessageH\000\022?\n\006update\030\002" +
-      " \001(\0132-.ragwortmoor.directory.DirectoryUp" +
-      "dateMessageH\000\0222\n\004join\030\003 \001(\0132\".ragwortmoo" +
-      "r.directory.JoinMessageH\000\022A\n\007request\030\004 \001" +
-      "(\0132..ragwortmoor.directory.ForwardedRequ" +
-      "estMessageH\000\022?\n\006answer\030\005 \001(\0132-.ragwortmo" +
-      "or.directory.ForwardedAnswerMessageH\000B\006\n" +
-      "\004bodyB!\n\035org.ragwortmoor.protocol.wireP\001" +
-      "b\006proto3"
+      "s_hash\030\t \001(\006\022\020\n\010stopping\030\n \001(\010\"\344\001\n\027Route" +
+      "TableChangeMessage\022\025\n\rbase_revision\030\001 \001(" +
+      "\004\022\017\n\007version\030\002 \001(\004\022\017\n\007removed\030\003 \003(\t\0224\n\007c" +
+      "hanged\030\004 \003(\0132#.ragwortmoor.directory.Rou" +
+      "teMessage\0229\n\006groups\030\005 \003(\0132).ragwortmoor." +
+      "directory.GroupLimitsMessage\022\037\n\027idle_tra" +
+      "nsaction_millis\030\006 \001(\r\"1\n\020NeighbourMessag" +
+      "e\022\014\n\004name\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\"\252\004\n\026Dir" +
+      "ectoryUpdateMessage\022\016\n\006leader\030\001 \001(\010\022\017\n\007m" +
+      "embers\030\002 \003(\t\022\017\n\007proxies\030\003 \001(\r\022\027\n\017routes_" +
+      "revision\030\004 \001(\004\0228\n\006routes\030\005 \001(\0132(.ragwort" +
+      "moor.directory.RouteTableMessage\022\030\n\020serv" +
+      "ers_revision\030\006 \001(\004\022\023\n\013has_servers\030\007 \001(\010\022" +
+      "5\n\007servers\030\010 \003(\0132$.ragwortmoor.directory" +
+      ".ServerMessage\022\021\n\treport_id\030\t \001(\004\022\024\n\014lea" +
+      "se_millis\030\n \001(\r\022\027\n\017withheld_groups\030\013 \003(\t" +
+      "\022\017\n\007domains\030\014 \001(\r\022\027\n\017neighbours_hash\030\r \001" +
+      "(\006\022;\n\nneighbours\030\016 \003(\0132\'.ragwortmoor.dir" +
+      "ectory.NeighbourMessage\022\026\n\016needs_identit" +
+      "y\030\017 \001(\010\022E\n\rroutes_change\030\020 \001(\0132..ragwort" +
+      "moor.directory.RouteTableChangeMessage\022\035" +
+      "\n\025servers_base_revision\030\021 \001(\004\"A\n\013JoinMes" +
+      "sage\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022" +
+      "\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedRequestMes" +
+      "sage\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030\002 \001(\0132(.r" +
+      "agwortmoor.directory.RouteTableMessageH\000" +
+      "\022H\n\014announcement\030\003 \001(\01320.ragwortmoor.dir" +
+      "ectory.ServerAnnouncementMessageH\000\022\025\n\013re" +
+      "ad_routes\030\004 \001(\010H\000B\t\n\007request\"c\n\031ServerAn" +
+      "nouncementMessage\0224\n\006server\030\001 \001(\0132$.ragw" +
+      "ortmoor.directory.ServerMessage\022\020\n\010seque" +
+      "nce\030\002 \001(\004\"E\n\026ForwardedAnswerMessage\022\n\n\002i" +
+      "d\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006source\030\003 \001(\t" +
+      "\"\317\002\n\020DirectoryMessage\022:\n\006report\030\001 \001(\0132(." +
+      "ragwortmoor.directory.NodeReportMessageH" +
+      "\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor.director" +
+      "y.DirectoryUpdateMessageH\000\0222\n\004join\030\003 \001(\013" +
+      "2\".ragwortmoor.directory.JoinMessageH\000\022A" +
+      "\n\007request\030\004 \001(\0132..ragwortmoor.directory." +
+      "ForwardedRequestMessageH\000\022?\n\006answer\030\005 \001(" +
+      "\0132-.ragwortmoor.directory.ForwardedAnswe" +
+      "rMessageH\000B\006\n\004bodyB!\n\035org.ragwortmoor.pr" +
+      "otocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -281,44 +294,50 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NodeReportMessage_descriptor,
         new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", });
-    internal_static_ragwortmoor_directory_NeighbourMessage_descriptor =
+    internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor =
       getDescriptor().getMessageType(11);
+    internal_static_ragwortmoor_directory_RouteTableChangeMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor,
+        new java.lang.String[] { "BaseRevision", "Version", "Removed", "Changed", "Groups", "IdleTransactionMillis", });
+    internal_static_ragwortmoor_directory_NeighbourMessage_descriptor =
+      getDescriptor().getMessageType(12);
     internal_static_ragwortmoor_directory_NeighbourMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NeighbourMessage_descriptor,
         new java.lang.String[] { "Name", "Address", });
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor,
-        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", "Domains", "NeighboursHash", "Neighbours", "NeedsIdentity", });
+        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", "Domains", "NeighboursHash", "Neighbours", "NeedsIdentity", "RoutesChange", "ServersBaseRevision", });
     internal_static_ragwortmoor_directory_JoinMessage_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_ragwortmoor_directory_JoinMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_JoinMessage_descriptor,
         new java.lang.String[] { "Node", "Incarnation", "Address", });
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor,
         new java.lang.String[] { "Id", "PutRoutes", "Announcement", "ReadRoutes", "Request", });
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor,
         new java.lang.String[] { "Server", "Sequence", });
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor,
         new java.lang.String[] { "Id", "Outcome", "Source", });
     internal_static_ragwortmoor_directory_DirectoryMessage_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_ragwortmoor_directory_DirectoryMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryMessage_descriptor,
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
@@ -378,6 +378,59 @@
     return needsIdentity_;
   }
 
+  public static final int ROUTES_CHANGE_FIELD_NUMBER = 16;
+  private org.ragwortmoor.protocol.wire.RouteTableChangeMessage routesChange_;
+  /**
+   * <pre>
+   * Replaces the routes; present instead of them.
+   * </pre>
+   *
+   * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+   * @return Whether the routesChange field is set.
+   */
+  @java.lang.Override
+  public boolean hasRoutesChange() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Replaces the routes; present instead of them.
+   * </pre>
+   *
+   * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+   * @return The routesChange.
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.RouteTableChangeMessage getRoutesChange() {
+    return routesChange_ == null ? org.ragwortmoor.protocol.wire.RouteTableChangeMessage.getDefaultInstance() : routesChange_;
+  }
+  /**
+   * <pre>
+   * Replaces the routes; present instead of them.
+   * </pre>
+   *
+   * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.RouteTableChangeMessageOrBuilder getRoutesChangeOrBuilder() {
+    return routesChange_ == null ? org.ragwortmoor.protocol.wire.RouteTableChangeMessage.getDefaultInstance() : routesChange_;
+  }
+
+  public static final int SERVERS_BASE_REVISION_FIELD_NUMBER = 17;
+  private long serversBaseRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision of the servers to which the listed servers are changes; 0 if all are listed.
+   * </pre>
+   *
+   * <code>uint64 servers_base_revision = 17;</code>
+   * @return The serversBaseRevision.
+   */
+  @java.lang.Override
+  public long getServersBaseRevision() {
+    return serversBaseRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -437,6 +490,12 @@
     if (needsIdentity_ != false) {
       output.writeBool(15, needsIdentity_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(16, getRoutesChange());
+    }
+    if (serversBaseRevision_ != 0L) {
+      output.writeUInt64(17, serversBaseRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -514,6 +573,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(15, needsIdentity_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, getRoutesChange());
+    }
+    if (serversBaseRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(17, serversBaseRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -562,6 +629,13 @@
         .equals(other.getNeighboursList())) return false;
     if (getNeedsIdentity()
         != other.getNeedsIdentity()) return false;
+    if (hasRoutesChange() != other.hasRoutesChange()) return false;
+    if (hasRoutesChange()) {
+      if (!getRoutesChange()
+          .equals(other.getRoutesChange())) return false;
+    }
+    if (getServersBaseRevision()
+        != other.getServersBaseRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -620,6 +694,13 @@
     hash = (37 * hash) + NEEDS_IDENTITY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getNeedsIdentity());
+    if (hasRoutesChange()) {
+      hash = (37 * hash) + ROUTES_CHANGE_FIELD_NUMBER;
+      hash = (53 * hash) + getRoutesChange().hashCode();
+    }
+    hash = (37 * hash) + SERVERS_BASE_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getServersBaseRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -753,6 +834,7 @@
         internalGetRoutesFieldBuilder();
         internalGetServersFieldBuilder();
         internalGetNeighboursFieldBuilder();
+        internalGetRoutesChangeFieldBuilder();
       }
     }
     @java.lang.Override
@@ -792,6 +874,12 @@
       }
       bitField0_ = (bitField0_ & ~0x00002000);
       needsIdentity_ = false;
+      routesChange_ = null;
+      if (routesChangeBuilder_ != null) {
+        routesChangeBuilder_.dispose();
+        routesChangeBuilder_ = null;
+      }
+      serversBaseRevision_ = 0L;
       return this;
     }
 
@@ -892,6 +980,15 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.needsIdentity_ = needsIdentity_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.routesChange_ = routesChangeBuilder_ == null
+            ? routesChange_
+            : routesChangeBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.serversBaseRevision_ = serversBaseRevision_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1012,6 +1109,12 @@
       if (other.getNeedsIdentity() != false) {
         setNeedsIdentity(other.getNeedsIdentity());
       }
+      if (other.hasRoutesChange()) {
+        mergeRoutesChange(other.getRoutesChange());
+      }
+      if (other.getServersBaseRevision() != 0L) {
+        setServersBaseRevision(other.getServersBaseRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1133,6 +1236,18 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 120
+            case 130: {
+              input.readMessage(
+                  internalGetRoutesChangeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 130
+            case 136: {
+              serversBaseRevision_ = input.readUInt64();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 136
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2389,6 +2504,207 @@
       return this;
     }
 
+    private org.ragwortmoor.protocol.wire.RouteTableChangeMessage routesChange_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.RouteTableChangeMessage, org.ragwortmoor.protocol.wire.RouteTableChangeMessage.Builder, org.ragwortmoor.protocol.wire.RouteTableChangeMessageOrBuilder> routesChangeBuilder_;
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     * @return Whether the routesChange field is set.
+     */
+    public boolean hasRoutesChange() {
+      return ((bitField0_ & 0x00008000) != 0);
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     * @return The routesChange.
+     */
+    public org.ragwortmoor.protocol.wire.RouteTableChangeMessage getRoutesChange() {
+      if (routesChangeBuilder_ == null) {
+        return routesChange_ == null ? org.ragwortmoor.protocol.wire.RouteTableChangeMessage.getDefaultInstance() : routesChange_;
+      } else {
+        return routesChangeBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     */
+    public Builder setRoutesChange(org.ragwortmoor.protocol.wire.RouteTableChangeMessage value) {
+      if (routesChangeBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        routesChange_ = value;
+      } else {
+        routesChangeBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     */
+    public Builder setRoutesChange(
+        org.ragwortmoor.protocol.wire.RouteTableChangeMessage.Builder builderForValue) {
+      if (routesChangeBuilder_ == null) {
+        routesChange_ = builderForValue.build();
+      } else {
+        routesChangeBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     */
+    public Builder mergeRoutesChange(org.ragwortmoor.protocol.wire.RouteTableChangeMessage value) {
+      if (routesChangeBuilder_ == null) {
+        if (((bitField0_ & 0x00008000) != 0) &&
+          routesChange_ != null &&
+          routesChange_ != org.ragwortmoor.protocol.wire.RouteTableChangeMessage.getDefaultInstance()) {
+          getRoutesChangeBuilder().mergeFrom(value);
+        } else {
+          routesChange_ = value;
+        }
+      } else {
+        routesChangeBuilder_.mergeFrom(value);
+      }
+      if (routesChange_ != null) {
+        bitField0_ |= 0x00008000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     */
+    public Builder clearRoutesChange() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      routesChange_ = null;
+      if (routesChangeBuilder_ != null) {
+        routesChangeBuilder_.dispose();
+        routesChangeBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     */
+    public org.ragwortmoor.protocol.wire.RouteTableChangeMessage.Builder getRoutesChangeBuilder() {
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return internalGetRoutesChangeFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     */
+    public org.ragwortmoor.protocol.wire.RouteTableChangeMessageOrBuilder getRoutesChangeOrBuilder() {
+      if (routesChangeBuilder_ != null) {
+        return routesChangeBuilder_.getMessageOrBuilder();
+      } else {
+        return routesChange_ == null ?
+            org.ragwortmoor.protocol.wire.RouteTableChangeMessage.getDefaultInstance() : routesChange_;
+      }
+    }
+    /**
+     * <pre>
+     * Replaces the routes; present instead of them.
+     * </pre>
+     *
+     * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.RouteTableChangeMessage, org.ragwortmoor.protocol.wire.RouteTableChangeMessage.Builder, org.ragwortmoor.protocol.wire.RouteTableChangeMessageOrBuilder> 
+        internalGetRoutesChangeFieldBuilder() {
+      if (routesChangeBuilder_ == null) {
+        routesChangeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.ragwortmoor.protocol.wire.RouteTableChangeMessage, org.ragwortmoor.protocol.wire.RouteTableChangeMessage.Builder, org.ragwortmoor.protocol.wire.RouteTableChangeMessageOrBuilder>(
+                getRoutesChange(),
+                getParentForChildren(),
+                isClean());
+        routesChange_ = null;
+      }
+      return routesChangeBuilder_;
+    }
+
+    private long serversBaseRevision_ ;
+    /**
+     * <pre>
+     * Revision of the servers to which the listed servers are changes; 0 if all are listed.
+     * </pre>
+     *
+     * <code>uint64 servers_base_revision = 17;</code>
+     * @return The serversBaseRevision.
+     */
+    @java.lang.Override
+    public long getServersBaseRevision() {
+      return serversBaseRevision_;
+    }
+    /**
+     * <pre>
+     * Revision of the servers to which the listed servers are changes; 0 if all are listed.
+     * </pre>
+     *
+     * <code>uint64 servers_base_revision = 17;</code>
+     * @param value The serversBaseRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServersBaseRevision(long value) {
+
+      serversBaseRevision_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision of the servers to which the listed servers are changes; 0 if all are listed.
+     * </pre>
+     *
+     * <code>uint64 servers_base_revision = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServersBaseRevision() {
+      bitField0_ = (bitField0_ & ~0x00010000);
+      serversBaseRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectoryUpdateMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
@@ -218,4 +218,41 @@
    * @return The needsIdentity.
    */
   boolean getNeedsIdentity();
+
+  /**
+   * <pre>
+   * Replaces the routes; present instead of them.
+   * </pre>
+   *
+   * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+   * @return Whether the routesChange field is set.
+   */
+  boolean hasRoutesChange();
+  /**
+   * <pre>
+   * Replaces the routes; present instead of them.
+   * </pre>
+   *
+   * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+   * @return The routesChange.
+   */
+  org.ragwortmoor.protocol.wire.RouteTableChangeMessage getRoutesChange();
+  /**
+   * <pre>
+   * Replaces the routes; present instead of them.
+   * </pre>
+   *
+   * <code>.ragwortmoor.directory.RouteTableChangeMessage routes_change = 16;</code>
+   */
+  org.ragwortmoor.protocol.wire.RouteTableChangeMessageOrBuilder getRoutesChangeOrBuilder();
+
+  /**
+   * <pre>
+   * Revision of the servers to which the listed servers are changes; 0 if all are listed.
+   * </pre>
+   *
+   * <code>uint64 servers_base_revision = 17;</code>
+   * @return The serversBaseRevision.
+   */
+  long getServersBaseRevision();
 }
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -110,6 +110,41 @@
                 .toJavaList();
     }
 
+    /**
+     * Returns the servers of which a process that knows an earlier revision has to be told, with
+     * their present roles; none if it needs all servers.
+     *
+     * @param revision log index of the last change of a server or promotion that it knows
+     */
+    public Option<List<ServerRecord>> serversChangedSince(long revision) {
+        // Beyond this number, servers that have ended are forgotten.
+        boolean complete =
+                servers.values().count(s -> s.state() == ServerState.GONE) < MAX_GONE_SERVERS;
+        return Option.when(
+                revision > 0 && complete,
+                () ->
+                        servers.values()
+                                .filter(s -> s.changedAt() > revision || promoted(s, revision))
+                                .map(this::withRole)
+                                .toJavaList());
+    }
+
+    private boolean promoted(ServerRecord server, long revision) {
+        return promotions.get(server.group()).exists(p -> p.token() > revision);
+    }
+
+    /** Returns the servers that have not ended, with their present roles. */
+    public List<ServerRecord> presentServers() {
+        return servers.values()
+                .filter(s -> s.state() != ServerState.GONE)
+                .map(this::withRole)
+                .toJavaList();
+    }
+
+    private ServerRecord withRole(ServerRecord server) {
+        return server.withPrimary(primary(server.group()).exists(p -> p.id().equals(server.id())));
+    }
+
     /** Returns whether storing {@code server} would change the directory. */
     public boolean wouldChange(ServerRecord server) {
         return servers.get(server.id()).forAll(known -> ServerPrecedence.replaces(server, known));
--- a/core/src/main/java/org/ragwortmoor/state/routes/Route.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/Route.java
@@ -22,4 +22,9 @@
         int timeoutMillis,
         int targetMillis,
         int priority,
-        int maxStalenessMillis) {}
+        int maxStalenessMillis) {
+    /** Returns the identity of the route: its database and prefix, which no other route has. */
+    public String identity() {
+        return database + '\n' + prefix;
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/state/routes/RouteTable.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/RouteTable.java
@@ -29,10 +29,15 @@
         groups = List.copyOf(groups);
     }
 
-    /** Returns the routes by database name. */
+    /** Returns the routes by database name; of several, the one with the lowest prefix. */
     public Map<String, Route> byDatabase() {
         Map<String, Route> found = new HashMap<>();
-        routes.forEach(route -> found.putIfAbsent(route.database(), route));
+        for (Route route : routes) {
+            found.merge(
+                    route.database(),
+                    route,
+                    (a, b) -> a.prefix().compareTo(b.prefix()) <= 0 ? a : b);
+        }
         return found;
     }
 
--- a/core/src/main/java/org/ragwortmoor/state/routes/UniqueRoutes.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/UniqueRoutes.java
@@ -14,7 +14,7 @@
     public Option<String> problem(RouteTable table) {
         Map<String, String> seen = new HashMap<>();
         for (Route route : table.routes()) {
-            String other = seen.put(route.database() + '\n' + route.prefix(), route.name());
+            String other = seen.put(route.identity(), route.name());
             if (other != null) {
                 return Option.some(
                         "routes '"
