Share packets between statements of one turn, count bytes to servers

Cause: each statement was flushed by itself, so the statements that the proxy sends in one go (RESET, SET, BEGIN; a read and its rollback) took a packet and a system call each. Nothing showed which bytes cross failure domains.

--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -48,6 +48,7 @@
     private final StatementProxySettings settings;
     private final EventLoop loop;
     private final SessionEngine engine;
+    private final TrafficMetrics traffic;
     private final ForwardingClient links;
     private final ForwardingServer forwarding;
     private final DirectoryClient directory;
@@ -75,6 +76,7 @@
         this.loop = loops.next();
         String host = settings.statementAddress().ip().getHostAddress();
         ProxyIdentity self = new ProxyIdentity(settings.name(), settings.failureDomain());
+        traffic = new TrafficMetrics(registry);
         links = new ForwardingClient(loop, settings.name(), host);
         engine =
                 new SessionEngine(
@@ -232,7 +234,8 @@
 
         @Override
         public ServerLink connect(ServerRecord record, ServerLinkListener listener) {
-            return client.connect(record.address(), listener);
+            boolean ownDomain = record.failureDomain().equals(settings.failureDomain());
+            return client.connect(record.address(), listener, traffic.ofDomain(ownDomain));
         }
     }
 }
--- a/app/src/main/java/org/ragwortmoor/transport/Channels.java
+++ b/app/src/main/java/org/ragwortmoor/transport/Channels.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
@@ -46,6 +47,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
+                        .addLast(flushConsolidation())
                         .addLast(
                                 new LengthFieldBasedFrameDecoder(
                                         limits.maxBytes(),
@@ -59,6 +61,15 @@
         };
     }
 
+    /**
+     * Returns a handler that flushes once for all messages that are written in one turn of the
+     * event loop; statements that follow each other then share packets and system calls.
+     */
+    static ChannelHandler flushConsolidation() {
+        return new FlushConsolidationHandler(
+                FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES, true);
+    }
+
     static WriteBufferWaterMark writeBufferWaterMark(TransportSettings settings) {
         return new WriteBufferWaterMark(
                 settings.writeBufferBytes() / 2, settings.writeBufferBytes());
--- a/app/src/main/java/org/ragwortmoor/transport/StatementClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/StatementClient.java
@@ -33,7 +33,17 @@
 
     /** Starts opening a connection and returns without waiting for it. */
     public SessionHost.ServerLink connect(String address, SessionHost.ServerLinkListener listener) {
-        ServerConnection connection = new ServerConnection(listener);
+        return connect(address, listener, ByteCounter.none());
+    }
+
+    /**
+     * Starts opening a connection and returns without waiting for it.
+     *
+     * @param traffic counts the bytes of the messages
+     */
+    public SessionHost.ServerLink connect(
+            String address, SessionHost.ServerLinkListener listener, ByteCounter traffic) {
+        ServerConnection connection = new ServerConnection(listener, traffic);
         var target = Channels.parseIpv4Address(address);
         if (target.isEmpty()) {
             eventLoops.next().execute(() -> connection.fail("no IP address and port: " + address));
@@ -52,6 +62,7 @@
                                     @Override
                                     protected void initChannel(Channel channel) {
                                         channel.pipeline()
+                                                .addLast(Channels.flushConsolidation())
                                                 .addLast(StatementLines.decoder())
                                                 .addLast(connection);
                                     }
@@ -69,12 +80,14 @@
     private static final class ServerConnection extends SimpleChannelInboundHandler<ByteBuf>
             implements SessionHost.ServerLink {
         private final SessionHost.ServerLinkListener listener;
+        private final ByteCounter traffic;
         private ChannelFuture connectFuture;
         private Channel channel;
         private boolean closed;
 
-        ServerConnection(SessionHost.ServerLinkListener listener) {
+        ServerConnection(SessionHost.ServerLinkListener listener, ByteCounter traffic) {
             this.listener = listener;
+            this.traffic = traffic;
         }
 
         @Override
@@ -92,6 +105,7 @@
             if (closed) {
                 return;
             }
+            traffic.received(line.readableBytes() + StatementCodec.LINE_END.length());
             StatementCodec.decode(line.toString(StandardCharsets.UTF_8))
                     .peek(listener::received)
                     .peekLeft(this::fail);
@@ -117,7 +131,7 @@
         @Override
         public void send(List<StatementMessage> messages) {
             if (channel != null && !closed) {
-                StatementLines.write(channel, messages);
+                traffic.sent(StatementLines.write(channel, messages));
             }
         }
 
--- a/app/src/main/java/org/ragwortmoor/transport/StatementLines.java
+++ b/app/src/main/java/org/ragwortmoor/transport/StatementLines.java
@@ -20,14 +20,16 @@
                 StatementCodec.MAX_LINE_BYTES + StatementCodec.LINE_END.length(), true, true);
     }
 
-    /** Writes messages with one flush. A failed write closes the channel. */
-    static void write(Channel channel, List<StatementMessage> messages) {
+    /** Writes messages with one flush; returns their size. A failed write closes the channel. */
+    static int write(Channel channel, List<StatementMessage> messages) {
         StringBuilder lines = new StringBuilder();
         messages.forEach(message -> lines.append(StatementCodec.encode(message)));
         ByteBuf bytes =
                 ByteBufUtil.encodeString(
                         channel.alloc(), java.nio.CharBuffer.wrap(lines), StandardCharsets.UTF_8);
+        int size = bytes.readableBytes();
         channel.writeAndFlush(bytes).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        return size;
     }
 
     /** Closes the channel after its pending writes. */
--- a/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
+++ b/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.ragwortmoor.coordination.engine.Counter;
 import org.ragwortmoor.directory.DecisionLogger;
+import org.ragwortmoor.directory.TrafficMetrics;
 import org.ragwortmoor.transport.TransportMetrics;
 
 /** Guards against metrics without a line on the page, and alarms on metrics that do not exist. */
@@ -46,7 +47,9 @@
         transport.droppedMessages("p");
         DecisionLogger decisions = new DecisionLogger(registry, System::nanoTime);
         decisions.statement("id", "database", "server", "ok", "", Option.none(), 1, 1);
+        decisions.forwardedStatement("id", "proxy", "server", "ok", "", Option.none(), 1, 1);
         decisions.connectionLost("group", "server", "reason");
+        new TrafficMetrics(registry);
         Set<String> found = new TreeSet<>(described(MetricsText.of(registry)));
         EmbeddedDeployment.Shape shape =
                 EmbeddedDeployment.Shape.carritos().withSizes(List.of("fleet-colina"), 1, 1);
@@ -92,6 +95,7 @@
                             "ControlMetrics.java",
                             "DecisionLogger.java",
                             "ProxyMetrics.java",
+                            "TrafficMetrics.java",
                             "TransportMetrics.java");
         }
         assertThat(registered).hasSize(namedMetrics());
