Tell a restarted fleet its neighbours once most proxies have reported

Cause: after the loss of power of all machines, a new leader told no proxy its neighbours for 300 ms.

Change: the list is sent as soon as nine tenths of the recorded fleet have reported, which at an election they usually have; the early reports are recorded before any of them is answered.

--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -52,9 +52,15 @@
     /** Time after an election before proxies are told of missing neighbours. */
     private static final long NEIGHBOUR_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_700);
 
-    /** Time after an election before a proxy without neighbours is told of any. */
+    /**
+     * Time after an election before a proxy without neighbours is told of any, unless most proxies
+     * have reported before.
+     */
     private static final long FIRST_NEIGHBOURS_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /** Fraction of the recorded fleet that must have reported to count as most proxies. */
+    private static final double MOST_PROXIES = 0.9;
+
     /** Time for which changes are collected before they are pushed to the proxies. */
     private static final long PUSH_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
@@ -78,13 +84,13 @@
         proxies.clear();
         electedAt = now;
         decreaseSince = now;
-        List<ProxyEntry> early = List.copyOf(earlyReports.values());
+        List<ProxyEntry> early =
+                earlyReports.values().stream()
+                        .filter(entry -> now - entry.reportedAt <= EARLY_REPORT_EXPIRY_NANOS)
+                        .toList();
         earlyReports.clear();
-        for (ProxyEntry entry : early) {
-            if (now - entry.reportedAt <= EARLY_REPORT_EXPIRY_NANOS) {
-                answerReport(entry.report, entry.reply, state, members, now);
-            }
-        }
+        early.forEach(entry -> store(proxies, entry.report, entry.reply, now));
+        early.forEach(entry -> answerReport(entry.report, entry.reply, state, members, now));
     }
 
     /**
@@ -250,7 +256,7 @@
             update.addAllMembers(members);
             entry.membersSent = members;
         }
-        addNeighbours(entry, update, now);
+        addNeighbours(entry, update, state.fleet(), now);
         contents.setState(state);
         contents.addRoutes(update, entry.routesRevision);
         contents.addServers(update, entry.serversRevision);
@@ -260,10 +266,13 @@
         entry.reply.send(toBody(DirectoryMessage.newBuilder().setUpdate(update).build()));
     }
 
-    private void addNeighbours(ProxyEntry entry, DirectoryUpdateMessage.Builder update, long now) {
+    private void addNeighbours(
+            ProxyEntry entry, DirectoryUpdateMessage.Builder update, FleetSize fleet, long now) {
         long known = entry.report.getNeighboursHash();
+        boolean mostKnown = fleet.proxies() > 0 && proxies.size() >= fleet.proxies() * MOST_PROXIES;
         long settling = known == 0 ? FIRST_NEIGHBOURS_SETTLE_NANOS : NEIGHBOUR_SETTLE_NANOS;
-        if (entry.domain.isEmpty() || now - electedAt < settling) {
+        boolean settled = mostKnown || now - electedAt >= settling;
+        if (entry.domain.isEmpty() || !settled) {
             return;
         }
         SortedMap<String, String> neighbours = neighbours(entry.domain, now);
--- a/app/src/test/java/org/ragwortmoor/directory/ProxyRegistryTest.java
+++ b/app/src/test/java/org/ragwortmoor/directory/ProxyRegistryTest.java
@@ -7,19 +7,24 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
+import org.ragwortmoor.protocol.DirectoryCodec;
 import org.ragwortmoor.protocol.PeerBody;
+import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
+import org.ragwortmoor.protocol.wire.NeighbourMessage;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
+import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.FleetSize;
 
 /**
- * Guards against proxy counts that follow a transient state: right after an election, or while a
- * proxy does not report, too few proxies are known.
+ * Guards against counts and lists of proxies that follow a transient state: right after an
+ * election, or while a proxy does not report, too few proxies are known.
  */
 class ProxyRegistryTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final ProxyRegistry registry = new ProxyRegistry(new PrimaryLeaseTable(0));
+    private DirectoryState fleet = DirectoryState.EMPTY;
     private long now = SECOND;
 
     private void report(int proxies) {
@@ -79,4 +84,82 @@
         }
         assertThat(registry.changedSize(new FleetSize(7, 1), now)).contains(new FleetSize(5, 1));
     }
+
+    private DirectoryUpdateMessage answer(String proxy, String domain, long knownHash) {
+        List<PeerBody> sent = new ArrayList<>();
+        registry.answerReport(
+                NodeReportMessage.newBuilder()
+                        .setProxy(proxy)
+                        .setDomain(domain)
+                        .setForwardingAddress("10.0.0.1:" + proxy)
+                        .setNeighboursHash(knownHash)
+                        .build(),
+                sent::add,
+                fleet,
+                List.of(),
+                now);
+        PeerBody.Directory body = (PeerBody.Directory) sent.get(0);
+        return DirectoryCodec.decodeMessage(body.message()).get().getUpdate();
+    }
+
+    private void setFleet(int proxies) {
+        fleet =
+                DirectoryState.EMPTY.apply(
+                        new DirectoryCommand.SetFleetSize(new FleetSize(proxies, 2)), 1);
+    }
+
+    private static List<String> names(DirectoryUpdateMessage update) {
+        return update.getNeighboursList().stream().map(NeighbourMessage::getName).toList();
+    }
+
+    @Test
+    void proxyIsToldTheProxiesOfItsOwnDomain() {
+        setFleet(3);
+        registry.elected(fleet, List.of(), now);
+        answer("p1", "a", 0);
+        answer("p2", "b", 0);
+        assertThat(names(answer("p3", "a", 0))).containsExactly("p1", "p3");
+    }
+
+    @Test
+    void newLeaderTellsNothingBeforeMostProxiesHaveReported() {
+        setFleet(10);
+        registry.elected(fleet, List.of(), now);
+        assertThat(names(answer("p1", "a", 0))).isEmpty();
+        now += SECOND / 2;
+        assertThat(names(answer("p1", "a", 0))).containsExactly("p1");
+        assertThat(names(answer("p2", "a", 7))).isEmpty();
+        now += 2 * SECOND;
+        assertThat(names(answer("p2", "a", 7))).containsExactly("p1", "p2");
+    }
+
+    @Test
+    void proxyThatStopsOrIsSilentIsNoNeighbour() {
+        setFleet(2);
+        registry.elected(fleet, List.of(), now);
+        answer("p1", "a", 0);
+        registry.answerReport(
+                NodeReportMessage.newBuilder()
+                        .setProxy("p2")
+                        .setDomain("a")
+                        .setForwardingAddress("10.0.0.1:p2")
+                        .setStopping(true)
+                        .build(),
+                body -> {},
+                fleet,
+                List.of(),
+                now);
+        assertThat(names(answer("p3", "a", 0))).containsExactly("p1", "p3");
+        now += 3 * SECOND;
+        assertThat(names(answer("p3", "a", 0))).containsExactly("p3");
+    }
+
+    @Test
+    void unchangedNeighboursAreNotRepeated() {
+        setFleet(1);
+        registry.elected(fleet, List.of(), now);
+        long hash = answer("p1", "a", 0).getNeighboursHash();
+        assertThat(hash).isNotZero();
+        assertThat(answer("p1", "a", hash).getNeighboursHash()).isZero();
+    }
 }
