Keep a directory process running after an unexpected error

Cause: an exception in the periodic work of a directory process ended the process, an exception while a message was handled left the log's state in memory as it was, a request handler's exception closed the caller's connection without an answer, and a planned stop left requests that had been forwarded to the leader without one.

Change: an error in the log closes and reopens it from disk, an error in the leader's duties transfers the leadership, an error in one message is logged and the message ignored. The HTTP server answers 500 and logs what closes a connection. A stop answers forwarded requests with 503.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import org.ragwortmoor.coordination.consensus.ConsensusAction;
 import org.ragwortmoor.coordination.consensus.ConsensusEvent;
+import org.ragwortmoor.coordination.consensus.ConsensusMessage;
 import org.ragwortmoor.protocol.ConsensusCodec;
 import org.ragwortmoor.protocol.DirectoryCodec;
 import org.ragwortmoor.protocol.PeerBody;
@@ -191,31 +192,54 @@
 
     private void tick() {
         try {
-            long now = System.nanoTime();
-            requests.expire(now);
-            if (log == null) {
-                return;
-            }
-            if (log.log().failure().isDefined()) {
-                reopen();
-                return;
-            }
-            log.handle(new ConsensusEvent.Tick());
-            updateLeadership();
-            if (leading) {
-                membership.nextChange(log.log().status(now)).forEach(log::proposeMembershipChange);
-                leaderDuties.tick(now);
-            } else {
-                membership.requestJoinIfNeeded(log.log(), now);
+            requests.expire(System.nanoTime());
+            if (log != null) {
+                advance();
             }
         } catch (RuntimeException e) {
-            LOG.error("event=tick_failed outcome=process_ends", e);
-            System.exit(3);
+            recover("tick", e);
         }
     }
 
-    private void reopen() {
-        LOG.warn("event=storage_failed reason=\"{}\"", log.log().failure().get().message());
+    private void advance() {
+        long now = System.nanoTime();
+        if (log.log().failure().isDefined()) {
+            reopen(log.log().failure().get().message());
+            return;
+        }
+        log.handle(new ConsensusEvent.Tick());
+        updateLeadership();
+        if (leading) {
+            membership.nextChange(log.log().status(now)).forEach(log::proposeMembershipChange);
+            performDuties(now);
+        } else {
+            membership.requestJoinIfNeeded(log.log(), now);
+        }
+    }
+
+    /** Performs the leader's duties; if they fail, a successor starts with a state of its own. */
+    private void performDuties(long now) {
+        try {
+            leaderDuties.tick(now);
+        } catch (RuntimeException e) {
+            LOG.error("event=duties_failed outcome=leadership_transferred", e);
+            log.handle(new ConsensusEvent.TransferLeadership());
+        }
+    }
+
+    /**
+     * Opens the log anew after an unexpected error. What is in memory may be inconsistent; what is
+     * on disk is not.
+     */
+    private void recover(String during, RuntimeException error) {
+        LOG.error("event=unexpected_error during={} outcome=log_reopened", during, error);
+        if (log != null) {
+            reopen("unexpected error: " + error);
+        }
+    }
+
+    private void reopen(String reason) {
+        LOG.warn("event=storage_failed reason=\"{}\"", reason);
         log.close();
         log = null;
         leading = false;
@@ -277,16 +301,32 @@
             }
             if (message.body() instanceof PeerBody.Consensus consensus) {
                 ConsensusCodec.decode(consensus.message().toByteArray())
-                        .peek(m -> log.handle(new ConsensusEvent.Received(m)))
+                        .peek(this::consensus)
                         .peekLeft(e -> LOG.warn("event=message_ignored reason=\"{}\"", e));
-                updateLeadership();
             } else if (message.body() instanceof PeerBody.Directory directory) {
                 DirectoryCodec.decodeMessage(directory.message())
-                        .peek(m -> directory(m, reply))
+                        .peek(m -> directory(message.sender(), m, reply))
                         .peekLeft(e -> LOG.warn("event=message_ignored reason=\"{}\"", e));
             }
         }
 
+        private void consensus(ConsensusMessage message) {
+            try {
+                log.handle(new ConsensusEvent.Received(message));
+                updateLeadership();
+            } catch (RuntimeException e) {
+                recover("message of " + message.from(), e);
+            }
+        }
+
+        private void directory(String sender, DirectoryMessage message, Reply reply) {
+            try {
+                directory(message, reply);
+            } catch (RuntimeException e) {
+                LOG.error("event=message_failed sender={} outcome=ignored", sender, e);
+            }
+        }
+
         private void directory(DirectoryMessage message, Reply reply) {
             updateLeadership();
             switch (message.getBodyCase()) {
@@ -346,6 +386,7 @@
     @Override
     public void close() {
         closed = true;
+        requests.close();
         if (log != null) {
             log.close();
             log = null;
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryRequests.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryRequests.java
@@ -206,6 +206,12 @@
                         });
     }
 
+    /** Answers every forwarded request as unavailable, because this process ends. */
+    void close() {
+        pendingForwards.values().forEach(request -> complete(request.answer(), false, ""));
+        pendingForwards.clear();
+    }
+
     private static void complete(
             CompletableFuture<DirectoryApi.RoutesResult> answer, boolean done, String source) {
         answer.complete(
--- a/app/src/main/java/org/ragwortmoor/transport/NettyHttpServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/NettyHttpServer.java
@@ -20,9 +20,11 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -114,12 +116,21 @@
                             request.method().name(),
                             request.uri(),
                             request.content().toString(StandardCharsets.UTF_8));
-            handler.handle(decoded)
+            handle(decoded)
                     .whenComplete(
                             (response, error) ->
                                     writeResponse(context, response, error, keepAlive));
         }
 
+        /** Calls the handler; its exception fails this request only. */
+        private CompletionStage<Response> handle(Request request) {
+            try {
+                return handler.handle(request);
+            } catch (RuntimeException e) {
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
         private static void writeResponse(
                 ChannelHandlerContext context,
                 Response response,
@@ -149,6 +160,12 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException) && !(cause instanceof ReadTimeoutException)) {
+                LOG.warn(
+                        "event=connection_failed peer={}",
+                        context.channel().remoteAddress(),
+                        cause);
+            }
             context.close();
         }
     }
--- a/core/src/test/java/org/ragwortmoor/coordination/session/ForwardingTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/ForwardingTest.java
@@ -210,6 +210,16 @@
         assertThat(primary.executed()).isEmpty();
     }
 
+    @Test
+    void aHolderThatIsOnlyLateToReportFinishesItsTransactions() {
+        caller.ask("BEGIN");
+        caller.ask("WRITE x 1");
+        fixture.unlist(holder);
+        assertThat(caller.ask("READ x")).contains("READY T");
+        assertThat(caller.ask("COMMIT")).contains("COMPLETE signed-s1");
+        assertThat(primary.executed()).hasSize(3);
+    }
+
     @Test
     void aNewHolderAndItsPredecessorStayBelowTheLimitOfTheServers() {
         for (int round = 0; round < 20; round++) {
