--- a/app/src/main/java/org/ragwortmoor/directory/MemberAddresses.java
+++ b/app/src/main/java/org/ragwortmoor/directory/MemberAddresses.java
@@ -7,9 +7,12 @@
  * @param peerPort port for other processes
  */
 record MemberAddresses(int peerPort) {
-    /** Returns the peer address of the process with this control address. */
+    /**
+     * Returns the peer address of the process with this control address. The result of a text that
+     * is no address is none either, and cannot be connected to.
+     */
     String of(String controlAddress) {
         int colon = controlAddress.lastIndexOf(':');
-        return controlAddress.substring(0, colon) + ":" + peerPort;
+        return (colon < 0 ? controlAddress : controlAddress.substring(0, colon)) + ":" + peerPort;
     }
 }
