Wait for a primary as long as it can return in time, serve by deadline

Cause: after 1.8 s without a primary every statement was refused within a fifth of its objective, also when a promotion only waited for the leases on the replaced primary, whose end is known; callers came back at once and used up their attempts. All refusals named the same delay. Statements of equal priority were served in the order of arrival, so a long timeout came before a short one.

Change: package coordination.admission. OutageForecast lets a statement wait while the next primary can be there within its time, and tells a refused caller the time that is left, spread over callers. WaitingOrder serves by priority, then deadline.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
@@ -117,7 +117,7 @@
         cancelHedge();
         attempts.forEach(Attempt::cancelWait);
         log(code, reason);
-        session.answerError(code, reason);
+        session.answerError(code, reason, group.retryAfterMillis(statement.id()));
     }
 
     private void log(String outcome, String reason) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerAnswers.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerAnswers.java
@@ -30,11 +30,16 @@
                 ready(transactionState, PositionField.NONE));
     }
 
-    /** Returns an error; if it is caused by overload, its text starts with a retry delay. */
-    static List<StatementMessage> error(String code, String reason, String transactionState) {
+    /**
+     * Returns an error; if it is caused by overload, its text starts with a retry delay.
+     *
+     * @param retryAfterMillis the delay, in milliseconds
+     */
+    static List<StatementMessage> error(
+            String code, String reason, String transactionState, int retryAfterMillis) {
         boolean retryable =
                 code.equals(ErrorCode.OVERLOAD.name()) || code.equals(ErrorCode.BUSY.name());
-        String hint = "retry-after-ms=" + SessionSettings.RETRY_AFTER_MILLIS + " ";
+        String hint = "retry-after-ms=" + retryAfterMillis + " ";
         return List.of(
                 StatementMessage.of(MessageKind.ERROR, code, retryable ? hint + reason : reason),
                 ready(transactionState, PositionField.NONE));
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
@@ -141,7 +141,7 @@
             return;
         }
         if (parsed.isLeft()) {
-            context.answerError(ErrorCode.MALFORMED.name(), parsed.getLeft());
+            answerError(ErrorCode.MALFORMED.name(), parsed.getLeft());
             return;
         }
         Statement statement = parsed.get();
@@ -156,7 +156,7 @@
             answerLocally();
         } else if (statement instanceof Statement.Deallocate deallocate) {
             if (state.prepared().remove(deallocate.name()) == null) {
-                context.answerError(ErrorCode.UNKNOWN.name(), "no statement has this name");
+                answerError(ErrorCode.UNKNOWN.name(), "no statement has this name");
             } else {
                 answerLocally();
             }
@@ -182,15 +182,15 @@
         if (isCommit) {
             transaction = null;
         }
-        context.answerError(errorCode.get(), "the transaction has failed");
+        answerError(errorCode.get(), "the transaction has failed");
     }
 
     private void begin(Statement.Begin begin) {
         Option<Route> route = engine.route(database);
         if (transaction != null) {
-            context.answerError(ErrorCode.MALFORMED.name(), "a transaction is open");
+            answerError(ErrorCode.MALFORMED.name(), "a transaction is open");
         } else if (route.isEmpty()) {
-            context.answerError(ErrorCode.NODB.name(), "no route has this name any more");
+            answerError(ErrorCode.NODB.name(), "no route has this name any more");
         } else {
             transaction =
                     new ForwardedTransaction(
@@ -206,7 +206,7 @@
 
     private void rollback() {
         if (transaction == null) {
-            context.answerError(ErrorCode.MALFORMED.name(), "no transaction is open");
+            answerError(ErrorCode.MALFORMED.name(), "no transaction is open");
             return;
         }
         transaction.rollback();
@@ -219,18 +219,18 @@
         if (statement instanceof Statement.Execute execute) {
             shape = state.prepared().get(execute.name());
             if (shape == null) {
-                context.answerError(ErrorCode.UNKNOWN.name(), "no statement has this name");
+                answerError(ErrorCode.UNKNOWN.name(), "no statement has this name");
                 return;
             }
         }
         if (transaction == null && statement instanceof Statement.Commit) {
-            context.answerError(ErrorCode.MALFORMED.name(), "no transaction is open");
+            answerError(ErrorCode.MALFORMED.name(), "no transaction is open");
             return;
         }
         Option<Route> route =
                 transaction == null ? engine.route(database) : Option.some(transaction.route());
         if (route.isEmpty()) {
-            context.answerError(ErrorCode.NODB.name(), "no route has this name any more");
+            answerError(ErrorCode.NODB.name(), "no route has this name any more");
             return;
         }
         RoutedStatement routed =
@@ -245,6 +245,10 @@
         autocommitStatement.start();
     }
 
+    private void answerError(String code, String reason) {
+        context.answerError(code, reason, SessionSettings.RETRY_AFTER_MILLIS);
+    }
+
     private void answerLocally() {
         sendAnswer(CallerAnswers.proxySuccess(transactionState()));
     }
@@ -358,8 +362,8 @@
         }
 
         @Override
-        public void answerError(String code, String reason) {
-            sendAnswer(CallerAnswers.error(code, reason, transactionState()));
+        public void answerError(String code, String reason, int retryAfterMillis) {
+            sendAnswer(CallerAnswers.error(code, reason, transactionState(), retryAfterMillis));
         }
 
         @Override
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedAutocommit.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedAutocommit.java
@@ -137,7 +137,7 @@
         } else if (result instanceof ForwardedResult.Failed failed) {
             finish();
             log(failed.server(), failed.code(), failed.reason());
-            session.answerError(failed.code(), failed.reason());
+            session.answerError(failed.code(), failed.reason(), failed.retryAfterMillis());
         } else if (result instanceof ForwardedResult.Declined) {
             selector.recordDeclined(proxy);
             declined.add(proxy);
@@ -153,7 +153,7 @@
     private void fail(String code, String reason) {
         finish();
         log("", code, reason);
-        session.answerError(code, reason);
+        session.answerError(code, reason, SessionSettings.RETRY_AFTER_MILLIS);
     }
 
     private void finish() {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedResult.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedResult.java
@@ -28,8 +28,13 @@
         }
     }
 
-    /** The statement failed with an error for the caller; a transaction has failed with it. */
-    record Failed(String code, String reason, String server) implements ForwardedResult {}
+    /**
+     * The statement failed with an error for the caller; a transaction has failed with it.
+     *
+     * @param retryAfterMillis delay that the caller is told if the error is retryable
+     */
+    record Failed(String code, String reason, String server, int retryAfterMillis)
+            implements ForwardedResult {}
 
     /** The statement was not sent to a server; another proxy may execute it. */
     record Declined(String reason) implements ForwardedResult {}
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedTransaction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedTransaction.java
@@ -161,7 +161,7 @@
             handleSucceeded(succeeded);
         } else if (result instanceof ForwardedResult.Failed error) {
             link = Option.none();
-            abort(error.code(), error.reason());
+            abort(error.code(), error.reason(), error.retryAfterMillis());
         } else if (result instanceof ForwardedResult.Declined reason && statementExecuted) {
             link = Option.none();
             abort(ErrorCode.ABORTED.name(), reason.reason());
@@ -216,6 +216,10 @@
     }
 
     private void abort(String code, String reason) {
+        abort(code, reason, SessionSettings.RETRY_AFTER_MILLIS);
+    }
+
+    private void abort(String code, String reason, int retryAfterMillis) {
         boolean commit = committing();
         failed = true;
         end();
@@ -223,7 +227,7 @@
         if (commit) {
             session.transactionEnded();
         }
-        session.answerError(code, reason);
+        session.answerError(code, reason, retryAfterMillis);
     }
 
     private void cancelTimer() {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardingSession.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardingSession.java
@@ -28,7 +28,7 @@
             if (!statement.first()) {
                 reply.accept(
                         new ForwardedResult.Failed(
-                                ErrorCode.ABORTED.name(), "the transaction was idle", ""));
+                                ErrorCode.ABORTED.name(), "the transaction was idle", "", 0));
                 return;
             }
             if (engine.stopping() || streams.size() >= SessionSettings.MAX_STREAMS_PER_LINK) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/HolderStream.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/HolderStream.java
@@ -48,7 +48,7 @@
         Option<RoutedStatement> routed = route(statement);
         group = engine.group(statement.route().group());
         if (routed.isEmpty() || group == null) {
-            answerError(ErrorCode.MALFORMED.name(), "the forwarded statement is not valid here");
+            answerError(ErrorCode.MALFORMED.name(), "the forwarded statement is not valid here", 0);
             return;
         }
         group.markUsed();
@@ -186,10 +186,10 @@
     }
 
     @Override
-    public void answerError(String code, String reason) {
+    public void answerError(String code, String reason, int retryAfterMillis) {
         // A failed transaction has been rolled back already.
         ended = true;
-        reply(new ForwardedResult.Failed(code, reason, server));
+        reply(new ForwardedResult.Failed(code, reason, server, retryAfterMillis));
     }
 
     private void reply(ForwardedResult result) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
@@ -380,7 +380,7 @@
         if (commit) {
             session.transactionEnded();
         }
-        session.answerError(code, reason);
+        session.answerError(code, reason, group.retryAfterMillis(currentStatement.id()));
     }
 
     private void log(String outcome, String reason) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/PrimaryLease.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/PrimaryLease.java
@@ -16,6 +16,7 @@
     private String server = "";
     private long deadline;
     private long clockOffsetMillis;
+    private long durationNanos;
     private long grantNumber;
     private long oldestValidReport;
     private boolean startsNothing;
@@ -51,6 +52,7 @@
         }
         server = newServer;
         deadline = reportedAt + nanos;
+        durationNanos = nanos;
         clockOffsetMillis = clockOffset;
         startsNothing = false;
     }
@@ -75,6 +77,11 @@
         }
     }
 
+    /** Returns the duration of the last lease; 0 if none is needed. */
+    long durationNanos() {
+        return required ? durationNanos : 0;
+    }
+
     /** Starts to wait for a lease, which this proxy did not need before. */
     void awaitGrant() {
         if (!held()) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -1,12 +1,13 @@
 package org.ragwortmoor.coordination.session;
 
 import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.ragwortmoor.coordination.admission.OutageForecast;
+import org.ragwortmoor.coordination.admission.WaitingOrder;
 import org.ragwortmoor.coordination.placement.ConnectionPlan;
 import org.ragwortmoor.coordination.placement.HolderRanking;
 import org.ragwortmoor.state.Position;
@@ -26,7 +27,8 @@
     private final PrimaryLease lease;
     private final FreshnessWindow freshness = new FreshnessWindow();
     private final Map<String, Server> servers = new LinkedHashMap<>();
-    private final List<ConnectionRequest> pendingRequests = new ArrayList<>();
+    private final WaitingOrder<ConnectionRequest> pendingRequests =
+            new WaitingOrder<>(ConnectionRequest::priority, ConnectionRequest::deadline);
     private final HolderSelector holders;
     private ConnectionShare share = new ConnectionShare(1, 0, 1);
     private Option<Long> lastUsedAt = Option.none();
@@ -184,7 +186,7 @@
             leader.tick();
         }
         long now = host.now();
-        for (ConnectionRequest request : List.copyOf(pendingRequests)) {
+        for (ConnectionRequest request : pendingRequests.inOrder()) {
             if (now - request.deadline() >= 0 && pendingRequests.remove(request)) {
                 request.listener().expired();
             }
@@ -248,27 +250,36 @@
         position.forEach(p -> leader.observeTerm(p.term()));
     }
 
+    /** Returns the forecast of the end of the leader's outage, if there is one. */
+    OutageForecast outageForecast() {
+        long outage = Math.max(leader.nanosWithoutProof(), lease.nanosWithoutLease());
+        return new OutageForecast(outage, lease.durationNanos());
+    }
+
     /**
-     * Returns until when a statement may wait for a connection. If the group has had no leader for
-     * longer than a promotion takes, the wait is shortened and the caller is told to retry later.
+     * Returns the delay that a refused caller is told, in milliseconds.
+     *
+     * @param statementId id of the statement, by which the delays are spread
      */
+    int retryAfterMillis(String statementId) {
+        double spread = (statementId.hashCode() & Integer.MAX_VALUE) / (double) Integer.MAX_VALUE;
+        return outageForecast().retryAfterMillis(spread);
+    }
+
+    /** Returns until when a statement may wait for a connection. */
     long connectionDeadline(ConnectionRequest.Target target, Route route, long sendDeadline) {
-        boolean longOutage =
-                target == ConnectionRequest.Target.LEADER
-                        && Math.max(leader.nanosWithoutProof(), lease.nanosWithoutLease())
-                                >= SessionSettings.LONG_OUTAGE_NANOS;
-        long latencyTarget = TimeUnit.MILLISECONDS.toNanos(route.targetMillis());
-        long outageDeadline = host.now() + latencyTarget / SessionSettings.OUTAGE_WAIT_DIVISOR;
-        return longOutage && outageDeadline - sendDeadline < 0 ? outageDeadline : sendDeadline;
+        return target == ConnectionRequest.Target.ANY
+                ? sendDeadline
+                : outageForecast()
+                        .waitDeadline(
+                                host.now(),
+                                sendDeadline,
+                                TimeUnit.MILLISECONDS.toNanos(route.targetMillis()));
     }
 
     /** Requests a connection; the listener may be called before this method returns. */
     void requestConnection(ConnectionRequest request) {
-        int at = pendingRequests.size();
-        while (at > 0 && pendingRequests.get(at - 1).priority() > request.priority()) {
-            at--;
-        }
-        pendingRequests.add(at, request);
+        pendingRequests.add(request);
         dispatch();
     }
 
@@ -293,7 +304,7 @@
 
     private void dispatchOnce() {
         Map<Server, Integer> openingsNeeded = new HashMap<>();
-        for (ConnectionRequest request : List.copyOf(pendingRequests)) {
+        for (ConnectionRequest request : pendingRequests.inOrder()) {
             Server server = selectServer(request);
             if (server == null) {
                 if (request.target() == ConnectionRequest.Target.ANY
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -40,15 +40,6 @@
      */
     static final long LEADER_LOST_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    /**
-     * Time without a leader after which statements hardly wait any more; failure detection and
-     * promotion take 1.6 s.
-     */
-    static final long LONG_OUTAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
-
-    /** Divisor of the target latency; the quotient is the maximum wait in a long outage. */
-    static final int OUTAGE_WAIT_DIVISOR = 5;
-
     /** Time without an answer to a pending statement after which a server is avoided. */
     static final long RESPONSE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
--- a/core/src/main/java/org/ragwortmoor/coordination/session/StatementContext.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/StatementContext.java
@@ -24,8 +24,12 @@
     /** Passes on the answer of a server. */
     void answer(ExchangeResult.Completed completed, String transactionState);
 
-    /** Answers with an error. */
-    void answerError(String code, String reason);
+    /**
+     * Answers with an error.
+     *
+     * @param retryAfterMillis delay that the caller is told if the error is retryable
+     */
+    void answerError(String code, String reason, int retryAfterMillis);
 
     /** Logs the end of a statement; see {@link DecisionLog#statement}. */
     void logStatement(
--- a/core/src/main/java/org/ragwortmoor/protocol/ForwardingCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/ForwardingCodec.java
@@ -105,7 +105,8 @@
                     ForwardedFailureMessage.newBuilder()
                             .setCode(failed.code())
                             .setReason(failed.reason())
-                            .setServer(failed.server()));
+                            .setServer(failed.server())
+                            .setRetryAfterMillis(failed.retryAfterMillis()));
         } else if (result instanceof ForwardedResult.Declined declined) {
             message.setDeclined(declined.reason());
         } else {
@@ -135,7 +136,8 @@
                     new ForwardedResult.Failed(
                             message.getFailed().getCode(),
                             message.getFailed().getReason(),
-                            message.getFailed().getServer());
+                            message.getFailed().getServer(),
+                            message.getFailed().getRetryAfterMillis());
             case DECLINED -> new ForwardedResult.Declined(message.getDeclined());
             case RESULT_NOT_SET -> throw MalformedException.missing("result");
         };
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedFailureMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedFailureMessage.java
@@ -163,6 +163,17 @@
     }
   }
 
+  public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 4;
+  private int retryAfterMillis_ = 0;
+  /**
+   * <code>uint32 retry_after_millis = 4;</code>
+   * @return The retryAfterMillis.
+   */
+  @java.lang.Override
+  public int getRetryAfterMillis() {
+    return retryAfterMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -186,6 +197,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, server_);
     }
+    if (retryAfterMillis_ != 0) {
+      output.writeUInt32(4, retryAfterMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -204,6 +218,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, server_);
     }
+    if (retryAfterMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, retryAfterMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -225,6 +243,8 @@
         .equals(other.getReason())) return false;
     if (!getServer()
         .equals(other.getServer())) return false;
+    if (getRetryAfterMillis()
+        != other.getRetryAfterMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -242,6 +262,8 @@
     hash = (53 * hash) + getReason().hashCode();
     hash = (37 * hash) + SERVER_FIELD_NUMBER;
     hash = (53 * hash) + getServer().hashCode();
+    hash = (37 * hash) + RETRY_AFTER_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getRetryAfterMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -376,6 +398,7 @@
       code_ = "";
       reason_ = "";
       server_ = "";
+      retryAfterMillis_ = 0;
       return this;
     }
 
@@ -418,6 +441,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.server_ = server_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.retryAfterMillis_ = retryAfterMillis_;
+      }
     }
 
     @java.lang.Override
@@ -447,6 +473,9 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (other.getRetryAfterMillis() != 0) {
+        setRetryAfterMillis(other.getRetryAfterMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -488,6 +517,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              retryAfterMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -721,6 +755,38 @@
       return this;
     }
 
+    private int retryAfterMillis_ ;
+    /**
+     * <code>uint32 retry_after_millis = 4;</code>
+     * @return The retryAfterMillis.
+     */
+    @java.lang.Override
+    public int getRetryAfterMillis() {
+      return retryAfterMillis_;
+    }
+    /**
+     * <code>uint32 retry_after_millis = 4;</code>
+     * @param value The retryAfterMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterMillis(int value) {
+
+      retryAfterMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint32 retry_after_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      retryAfterMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.forwarding.ForwardedFailureMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedFailureMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedFailureMessageOrBuilder.java
@@ -45,4 +45,10 @@
    */
   com.google.protobuf.ByteString
       getServerBytes();
+
+  /**
+   * <code>uint32 retry_after_millis = 4;</code>
+   * @return The retryAfterMillis.
+   */
+  int getRetryAfterMillis();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Forwarding.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Forwarding.java
@@ -86,21 +86,22 @@
       "ues_changed\030\013 \001(\010\022\023\n\013may_decline\030\014 \001(\010\"q" +
       "\n\027ForwardedSuccessMessage\022\014\n\004rows\030\001 \003(\t\022" +
       "\021\n\tsignature\030\002 \001(\t\022\020\n\010position\030\003 \001(\t\022\023\n\013" +
-      "last_commit\030\004 \001(\t\022\016\n\006server\030\005 \001(\t\"G\n\027For" +
+      "last_commit\030\004 \001(\t\022\016\n\006server\030\005 \001(\t\"c\n\027For" +
       "wardedFailureMessage\022\014\n\004code\030\001 \001(\t\022\016\n\006re" +
-      "ason\030\002 \001(\t\022\016\n\006server\030\003 \001(\t\"\317\001\n\026Forwarded" +
-      "ResultMessage\022\016\n\006stream\030\001 \001(\004\022D\n\tsucceed" +
-      "ed\030\002 \001(\0132/.ragwortmoor.forwarding.Forwar" +
-      "dedSuccessMessageH\000\022A\n\006failed\030\003 \001(\0132/.ra" +
-      "gwortmoor.forwarding.ForwardedFailureMes" +
-      "sageH\000\022\022\n\010declined\030\004 \001(\tH\000B\010\n\006result\"\343\001\n" +
-      "\017ForwardingFrame\022\017\n\005hello\030\001 \001(\tH\000\022F\n\tsta" +
-      "tement\030\002 \001(\01321.ragwortmoor.forwarding.Fo" +
-      "rwardedStatementMessageH\000\022@\n\006result\030\003 \001(" +
-      "\0132..ragwortmoor.forwarding.ForwardedResu" +
-      "ltMessageH\000\022\r\n\003end\030\004 \001(\004H\000\022\016\n\004ping\030\005 \001(\004" +
-      "H\000\022\016\n\004pong\030\006 \001(\004H\000B\006\n\004bodyB!\n\035org.ragwor" +
-      "tmoor.protocol.wireP\001b\006proto3"
+      "ason\030\002 \001(\t\022\016\n\006server\030\003 \001(\t\022\032\n\022retry_afte" +
+      "r_millis\030\004 \001(\r\"\317\001\n\026ForwardedResultMessag" +
+      "e\022\016\n\006stream\030\001 \001(\004\022D\n\tsucceeded\030\002 \001(\0132/.r" +
+      "agwortmoor.forwarding.ForwardedSuccessMe" +
+      "ssageH\000\022A\n\006failed\030\003 \001(\0132/.ragwortmoor.fo" +
+      "rwarding.ForwardedFailureMessageH\000\022\022\n\010de" +
+      "clined\030\004 \001(\tH\000B\010\n\006result\"\343\001\n\017ForwardingF" +
+      "rame\022\017\n\005hello\030\001 \001(\tH\000\022F\n\tstatement\030\002 \001(\013" +
+      "21.ragwortmoor.forwarding.ForwardedState" +
+      "mentMessageH\000\022@\n\006result\030\003 \001(\0132..ragwortm" +
+      "oor.forwarding.ForwardedResultMessageH\000\022" +
+      "\r\n\003end\030\004 \001(\004H\000\022\016\n\004ping\030\005 \001(\004H\000\022\016\n\004pong\030\006" +
+      " \001(\004H\000B\006\n\004bodyB!\n\035org.ragwortmoor.protoc" +
+      "ol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -136,7 +137,7 @@
     internal_static_ragwortmoor_forwarding_ForwardedFailureMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_forwarding_ForwardedFailureMessage_descriptor,
-        new java.lang.String[] { "Code", "Reason", "Server", });
+        new java.lang.String[] { "Code", "Reason", "Server", "RetryAfterMillis", });
     internal_static_ragwortmoor_forwarding_ForwardedResultMessage_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_ragwortmoor_forwarding_ForwardedResultMessage_fieldAccessorTable = new
--- a/core/src/test/java/org/ragwortmoor/protocol/ForwardingCodecTest.java
+++ b/core/src/test/java/org/ragwortmoor/protocol/ForwardingCodecTest.java
@@ -83,7 +83,7 @@
                 Combinators.combine(texts().list().ofMaxSize(3), texts(), positions(), positions())
                         .as((rows, text, at, last) -> success(rows, text, at, last));
         Arbitrary<ForwardedResult> failed =
-                texts().map(text -> new ForwardedResult.Failed(text, text, text));
+                texts().map(text -> new ForwardedResult.Failed(text, text, text, text.length()));
         return Arbitraries.oneOf(succeeded, failed, texts().map(ForwardedResult.Declined::new));
     }
 
