Avoid servers that fail reads

Cause: a server that fails part of its work while its health check is good was chosen like any other; a failed read was even sent to the same server again.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
@@ -358,6 +358,10 @@
                 }
                 case UNKNOWN -> retryAfter(0);
                 case FAILED -> {
+                    connection.server().recordFailure();
+                    if (!onLeader) {
+                        excluded.add(connection.server().record().id());
+                    }
                     boolean retry = statement.isRead() && attempts.size() < 3;
                     if (retry) {
                         retryAfter(0);
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ReadServerSelector.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ReadServerSelector.java
@@ -20,6 +20,12 @@
     /** Additional cost of the primary. */
     private static final double PRIMARY_COST_MILLIS = 6;
 
+    /**
+     * Additional cost of a server that fails every statement; a health check may still succeed. A
+     * read that fails has to be sent again.
+     */
+    private static final double FAILURE_COST_MILLIS = 400;
+
     /** Additional cost of a connection that must be opened first. */
     private static final double OPENING_COST_MILLIS = 15;
 
@@ -63,6 +69,7 @@
         double slots = Math.max(1, server.record().slots());
         double cost = server.averageLatencyMillis() * (1 + server.inUse() / slots);
         cost += server.record().failureDomain().equals(zone) ? 0 : REMOTE_DOMAIN_COST_MILLIS;
+        cost += server.failureRate() * FAILURE_COST_MILLIS;
         return cost + (primary ? PRIMARY_COST_MILLIS : 0);
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -31,6 +31,8 @@
     private long overloadedAt;
     private boolean openHasFailed;
     private double averageLatencyMillis = 10;
+    private double failureRate;
+    private long failedAt;
 
     Server(SessionHost host, ServerGroup group, ServerRecord record) {
         this.host = host;
@@ -39,6 +41,7 @@
         this.lastReceivedAt = host.now();
         this.nextOpenAt = host.now();
         this.drainingSince = host.now();
+        this.failedAt = host.now();
         this.overloadedAt = host.now() - SessionSettings.OVERLOAD_BACKOFF_NANOS;
     }
 
@@ -122,9 +125,22 @@
         group.observePosition(position);
     }
 
-    /** Adds the latency of a statement, in nanoseconds, to the average. */
+    /** Adds the latency of a statement that succeeded, in nanoseconds, to the average. */
     void recordLatency(long nanos) {
         averageLatencyMillis += LATENCY_WEIGHT * (nanos / NANOS_PER_MILLI - averageLatencyMillis);
+        failureRate -= LATENCY_WEIGHT * failureRate;
+    }
+
+    /** Records that the server executed a statement and failed. */
+    void recordFailure() {
+        failureRate += LATENCY_WEIGHT * (1 - failureRate);
+        failedAt = host.now();
+    }
+
+    /** Returns the share of the recent statements that failed; 0 some time after the last one. */
+    double failureRate() {
+        boolean recent = host.now() - failedAt < SessionSettings.FAILURE_MEMORY_NANOS;
+        return recent ? failureRate : 0;
     }
 
     double averageLatencyMillis() {
--- a/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
@@ -27,6 +27,7 @@
     private boolean refusesConnections;
     private int answersToLose;
     private int busyRejections;
+    private boolean failsReads;
     private int workMillis = 5;
     private int maxConnections = 100;
     private int connects;
@@ -147,6 +148,12 @@
         return this;
     }
 
+    /** Sets whether reads are executed and fail, while everything else works. */
+    FakeServer setFailsReads(boolean newValue) {
+        failsReads = newValue;
+        return this;
+    }
+
     FakeServer setWorkMillis(int millis) {
         workMillis = millis;
         return this;
@@ -293,6 +300,10 @@
                 return;
             }
             executed.add(id + " " + text + " " + values);
+            if (failsReads && words[0].equals("READ")) {
+                error("FAILED");
+                return;
+            }
             Position positionBefore = position;
             if (words[0].equals("COMMIT")) {
                 state = "I";
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
@@ -58,6 +58,48 @@
         assertThat(caller.ask("READ x")).contains("signed-s1");
     }
 
+    @Test
+    void aServerThatFailsReadsGetsFewOfThem() {
+        Caller caller = deployment.caller("bounded");
+        assertThat(caller.ask("READ x")).contains("signed-s2");
+        deployment.s2.setFailsReads(true);
+        for (int i = 0; i < 40; i++) {
+            assertThat(caller.ask("READ x", 50)).contains("COMPLETE signed-");
+        }
+        long failed = deployment.s2.executed().size();
+        assertThat(failed).isLessThan(8);
+        deployment.s2.setFailsReads(false);
+        deployment.host.advance(3_000);
+        assertThat(caller.ask("READ x")).contains("signed-s2");
+    }
+
+    @Test
+    void readsAreServedWhileAReplicaGoesDownAndUp() {
+        Caller caller = deployment.caller("bounded");
+        for (int i = 0; i < 20; i++) {
+            if (i % 2 == 0) {
+                deployment.s2.crash();
+            } else {
+                deployment.s2.restart();
+            }
+            for (int read = 0; read < 5; read++) {
+                assertThat(caller.ask("READ x", 60)).contains("COMPLETE signed-");
+            }
+        }
+    }
+
+    @Test
+    void aTransactionAtRestGivesItsConnectionBack() {
+        deployment.s1.setMaxConnections(8);
+        Caller resting = deployment.caller("strong");
+        resting.ask("BEGIN");
+        resting.ask("WRITE x 1");
+        deployment.host.advance(3_100);
+        assertThat(resting.ask("COMMIT")).startsWith("ERROR ABORTED");
+        assertThat(deployment.s1.position().index()).isEqualTo(10);
+        assertThat(deployment.caller("strong").ask("WRITE x 2")).contains("signed-s1");
+    }
+
     @Test
     void deposedLeaderNeverAnswersAPrimaryRead() {
         Caller caller = deployment.caller("strong");
