--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.directory;
 
+import com.google.protobuf.ByteString;
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
 import io.vavr.control.Either;
@@ -58,6 +59,7 @@
     private final String forwardingAddress;
     private final SessionEngine engine;
     private final MemberAddresses addresses;
+    private final RelayedReports relayed;
     private final Consumer<DirectoryView> viewListener;
     private List<String> seeds;
     private Set<String> members = new LinkedHashSet<>();
@@ -80,7 +82,9 @@
             SessionEngine engine,
             MemberAddresses addresses,
             List<String> seeds,
+            RelayedReports relayed,
             Consumer<DirectoryView> viewListener) {
+        this.relayed = relayed;
         this.self = self;
         this.forwardingAddress = forwardingAddress;
         this.engine = engine;
@@ -97,9 +101,10 @@
         seeds = List.copyOf(changed);
     }
 
-    /** Returns whether the leader has sent an update within {@link #ANSWER_TIMEOUT_NANOS}. */
+    /** Returns whether the leader has sent an update lately, also through another proxy. */
     boolean leaderResponsive() {
-        return System.nanoTime() - lastUpdateAt < ANSWER_TIMEOUT_NANOS;
+        long now = System.nanoTime();
+        return now - lastUpdateAt < ANSWER_TIMEOUT_NANOS || relayed.answered(now);
     }
 
     /** Sends a report if one is due. */
@@ -113,18 +118,52 @@
         }
         lastReportUrgent = urgent;
         lastReportAt = now;
-        PeerBody report = ProxyRegistry.toBody(nextReport(now));
+        DirectoryMessage report = nextReport(now);
         if (!leader.isEmpty() && now - lastUpdateAt >= LEADER_TIMEOUT_NANOS) {
             LOG.warn("event=directory_lost leader={} view={}", leader, revisions());
             leader = "";
         }
         if (!leader.isEmpty()) {
-            peers.send(leader, report);
+            peers.send(leader, ProxyRegistry.toBody(report));
             return;
         }
         Set<String> targets = new LinkedHashSet<>(members);
         seeds.forEach(seed -> targets.add(addresses.of(seed)));
-        targets.forEach(address -> peers.send(address, report));
+        targets.forEach(address -> peers.send(address, ProxyRegistry.toBody(report)));
+        if (relayed.due(now)) {
+            NodeReportMessage passedOn = report.getReport().toBuilder().setRelayed(true).build();
+            relayed.send(
+                    DirectoryMessage.newBuilder().setReport(passedOn).build().toByteString(), now);
+        }
+    }
+
+    /**
+     * Passes on the report of a proxy that does not reach the directory, if this one does.
+     *
+     * @param reply sends an update back to that proxy
+     */
+    void relay(String from, ByteString report, Consumer<ByteString> reply) {
+        long now = System.nanoTime();
+        if (!leader.isEmpty() && now - lastUpdateAt < LEADER_TIMEOUT_NANOS) {
+            relayed.setDestination(from, reply, now);
+            peers.send(leader, new PeerBody.Directory(report));
+        }
+    }
+
+    /** Handles an update that another proxy has passed on. */
+    void receivedThrough(String proxy, ByteString message) {
+        DirectoryCodec.decodeMessage(message)
+                .peekLeft(e -> LOG.warn("event=message_ignored reason=\"{}\"", e))
+                .toOption()
+                .filter(m -> m.hasUpdate() && m.getUpdate().getLeader())
+                .forEach(
+                        m -> {
+                            if (!relayed.answered(System.nanoTime())) {
+                                LOG.info("event=directory_reached_through proxy={}", proxy);
+                            }
+                            relayed.recordAnswer(proxy, System.nanoTime());
+                            apply(m.getUpdate());
+                        });
     }
 
     private DirectoryMessage nextReport(long now) {
@@ -182,7 +221,10 @@
                 .peekLeft(e -> LOG.warn("event=message_ignored reason=\"{}\"", e))
                 .forEach(
                         m -> {
-                            if (m.hasUpdate()) {
+                            String destination = m.getUpdate().getDestination();
+                            if (!destination.isEmpty() && !destination.equals(self.name())) {
+                                relayed.passOn(destination, directory.message());
+                            } else if (m.hasUpdate()) {
                                 handleUpdate(address, m.getUpdate());
                             }
                         });
@@ -200,6 +242,10 @@
             LOG.info("event=directory_found leader={}", address);
             leader = address;
         }
+        apply(update);
+    }
+
+    private void apply(DirectoryUpdateMessage update) {
         identityNeeded = update.getNeedsIdentity();
         updateFleet(update);
         engine.setLeasesRequired(update.getLeaseMillis() > 0);
@@ -229,6 +275,7 @@
                 neighbours = neighbours.put(neighbour.getName(), neighbour.getAddress());
             }
             LOG.info("event=neighbours_changed count={}", neighbours.size());
+            relayed.setCandidates(relayCandidates(update));
         }
         boolean counted = update.getProxies() > 0;
         fleet =
@@ -238,6 +285,14 @@
                         neighbours);
     }
 
+    private java.util.Map<String, String> relayCandidates(DirectoryUpdateMessage update) {
+        java.util.Map<String, String> candidates = new HashMap<>();
+        update.getNeighboursList().forEach(n -> candidates.put(n.getName(), n.getAddress()));
+        update.getRelaysList().forEach(n -> candidates.put(n.getName(), n.getAddress()));
+        candidates.remove(self.name());
+        return candidates;
+    }
+
     private void replaceMembers(Set<String> changed) {
         for (String address : members) {
             boolean seed = seeds.stream().anyMatch(s -> addresses.of(s).equals(address));
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -5,8 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
 import org.ragwortmoor.protocol.PeerBody;
@@ -34,6 +36,7 @@
     /** Maximum age of a report that is answered if this process is elected. */
     private static final long EARLY_REPORT_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    private static final int RELAYS_PER_DOMAIN = 2;
     private static final long HASH_FACTOR = 0x100000001b3L;
 
     private final PrimaryLeaseTable leases;
@@ -257,6 +260,9 @@
             entry.membersSent = members;
         }
         addNeighbours(entry, update, state.fleet(), now);
+        if (entry.report.getRelayed()) {
+            update.setDestination(entry.report.getProxy());
+        }
         contents.setState(state);
         contents.addRoutes(update, entry.routesRevision);
         contents.addServers(update, entry.serversRevision);
@@ -278,16 +284,44 @@
         SortedMap<String, String> neighbours = neighbours(entry.domain, now);
         long hash = hash(neighbours);
         if (hash != known) {
-            update.setNeighboursHash(hash);
-            neighbours.forEach(
-                    (name, address) ->
-                            update.addNeighbours(
-                                    NeighbourMessage.newBuilder()
-                                            .setName(name)
-                                            .setAddress(address)));
+            update.setNeighboursHash(hash)
+                    .addAllNeighbours(toMessages(neighbours))
+                    .addAllRelays(toMessages(relays(entry, now)));
         }
     }
 
+    /**
+     * Returns some proxies of each other failure domain, which may pass on reports. The selection
+     * differs between proxies, so that no proxy passes on those of all.
+     */
+    private SortedMap<String, String> relays(ProxyEntry entry, long now) {
+        SortedMap<String, String> found = new TreeMap<>();
+        Set<String> domains = new TreeSet<>();
+        proxies.values().forEach(p -> domains.add(p.domain));
+        domains.remove(entry.domain);
+        for (String domain : domains) {
+            List<Map.Entry<String, String>> members =
+                    List.copyOf(neighbours(domain, now).entrySet());
+            int start = Math.floorMod(entry.report.getProxy().hashCode(), Integer.MAX_VALUE);
+            for (int i = 0; i < Math.min(RELAYS_PER_DOMAIN, members.size()); i++) {
+                Map.Entry<String, String> relay = members.get((start + i) % members.size());
+                found.put(relay.getKey(), relay.getValue());
+            }
+        }
+        return found;
+    }
+
+    private static List<NeighbourMessage> toMessages(SortedMap<String, String> addresses) {
+        return addresses.entrySet().stream()
+                .map(
+                        a ->
+                                NeighbourMessage.newBuilder()
+                                        .setName(a.getKey())
+                                        .setAddress(a.getValue())
+                                        .build())
+                .toList();
+    }
+
     static PeerBody toBody(DirectoryMessage message) {
         return new PeerBody.Directory(ByteString.copyFrom(message.toByteArray()));
     }
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.directory;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -77,14 +78,19 @@
         String host = settings.statementAddress().ip().getHostAddress();
         ProxyIdentity self = new ProxyIdentity(settings.name(), settings.failureDomain());
         traffic = new TrafficMetrics(registry);
-        links = new ForwardingClient(loop, settings.name(), host);
+        links = new ForwardingClient(loop, settings.name(), host, this::receivedThrough);
         engine =
                 new SessionEngine(
                         new NodeSessionHost(new StatementClient(loops, host)),
                         self,
                         new DecisionLogger(registry, System::nanoTime));
         forwarding =
-                new ForwardingServer(loops, host, settings.peerPort(), engine::acceptForwarding);
+                new ForwardingServer(
+                        loops,
+                        host,
+                        settings.peerPort(),
+                        engine::acceptForwarding,
+                        (from, report, reply) -> directory().relay(from, report, reply));
         directory =
                 new DirectoryClient(
                         self,
@@ -92,6 +98,7 @@
                         engine,
                         new MemberAddresses(settings.peerPort()),
                         settings.seeds(),
+                        new RelayedReports(links),
                         engine::update);
         peers =
                 new PeerClient(
@@ -107,6 +114,14 @@
         loop.scheduleAtFixedRate(this::tick, 0, tick, TimeUnit.NANOSECONDS);
     }
 
+    private DirectoryClient directory() {
+        return directory;
+    }
+
+    private void receivedThrough(String proxy, ByteString message) {
+        directory.receivedThrough(proxy, message);
+    }
+
     private void tick() {
         try {
             tickCount++;
--- a/app/src/main/java/org/ragwortmoor/transport/ForwardingClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/ForwardingClient.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.transport;
 
+import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.ragwortmoor.coordination.session.ForwardedResult;
 import org.ragwortmoor.coordination.session.ForwardedStatement;
@@ -61,6 +63,7 @@
     private final EventLoop loop;
     private final String self;
     private final String localHost;
+    private final BiConsumer<String, ByteString> updateListener;
     private final Map<String, Link> links = new HashMap<>();
 
     /**
@@ -68,15 +71,31 @@
      *
      * @param self name of this proxy, sent when a link is opened
      * @param localHost IP address from which links are opened
+     * @param updateListener receives updates of the directory that a proxy, given by its name,
+     *     passes on
      */
-    public ForwardingClient(EventLoop loop, String self, String localHost) {
+    public ForwardingClient(
+            EventLoop loop,
+            String self,
+            String localHost,
+            BiConsumer<String, ByteString> updateListener) {
+        this.updateListener = updateListener;
         this.loop = loop;
         this.self = self;
         this.localHost = localHost;
     }
 
+    /** Sends a report that another proxy passes on, or drops it while there is no connection. */
+    public void sendReport(String proxy, String address, ByteString report) {
+        openLink(proxy, address).sendReport(report);
+    }
+
     /** Returns the link to a proxy, and starts to connect if there is none. */
     public HolderLink link(String proxy, String address) {
+        return openLink(proxy, address);
+    }
+
+    private Link openLink(String proxy, String address) {
         Link link = links.get(proxy);
         if (link != null && !link.address.equals(address)) {
             link.close("the proxy has another address");
@@ -209,6 +228,14 @@
             }
         }
 
+        void sendReport(ByteString report) {
+            lastUsedAt = System.nanoTime();
+            if (usable() && channel != null) {
+                ForwardingFrames.write(
+                        channel, ForwardingFrame.newBuilder().setReport(report).build());
+            }
+        }
+
         @Override
         public void end(long stream) {
             pending.remove(stream);
@@ -267,6 +294,8 @@
                 ForwardingCodec.decode(frame.getResult())
                         .peek(result -> complete(frame.getResult().getStream(), result))
                         .peekLeft(error -> reject(error.toString()));
+            } else if (frame.hasUpdate()) {
+                updateListener.accept(proxy, frame.getUpdate());
             } else if (!frame.hasPong()) {
                 reject("unexpected frame " + frame.getBodyCase());
             }
--- a/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
@@ -31,13 +31,15 @@
      * @param host IP address to listen on
      * @param port port to listen on
      * @param sessionFactory creates the session of a new link, given the name of the other proxy
+     * @param relay passes on reports of other proxies
      * @throws IOException if the port cannot be bound
      */
     public ForwardingServer(
             EventLoopGroup loops,
             String host,
             int port,
-            Function<String, ForwardingSession> sessionFactory)
+            Function<String, ForwardingSession> sessionFactory,
+            ReportRelay relay)
             throws IOException {
         ChannelFuture bound =
                 new ServerBootstrap()
@@ -48,7 +50,8 @@
                         .childOption(ChannelOption.SO_KEEPALIVE, true)
                         .childHandler(
                                 Channels.initializer(
-                                        ForwardingFrames.LIMITS, () -> new Link(sessionFactory)))
+                                        ForwardingFrames.LIMITS,
+                                        () -> new Link(sessionFactory, relay)))
                         .bind(host, port)
                         .awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -64,10 +67,13 @@
 
     private static final class Link extends SimpleChannelInboundHandler<ByteBuf> {
         private final Function<String, ForwardingSession> sessionFactory;
+        private final ReportRelay relay;
         private ForwardingSession session;
+        private String peer = "";
 
-        Link(Function<String, ForwardingSession> sessionFactory) {
+        Link(Function<String, ForwardingSession> sessionFactory, ReportRelay relay) {
             this.sessionFactory = sessionFactory;
+            this.relay = relay;
         }
 
         @Override
@@ -79,7 +85,8 @@
 
         private void received(Channel channel, ForwardingFrame frame) {
             if (frame.hasHello() && session == null) {
-                session = sessionFactory.apply(frame.getHello());
+                peer = frame.getHello();
+                session = sessionFactory.apply(peer);
                 return;
             }
             if (frame.hasPing()) {
@@ -97,6 +104,16 @@
                                 .peek(statement -> execute(channel, statement))
                                 .peekLeft(error -> reject(channel, error.toString()));
                 case END -> session.end(frame.getEnd());
+                case REPORT ->
+                        relay.report(
+                                peer,
+                                frame.getReport(),
+                                update ->
+                                        ForwardingFrames.write(
+                                                channel,
+                                                ForwardingFrame.newBuilder()
+                                                        .setUpdate(update)
+                                                        .build()));
                 default -> reject(channel, "unexpected frame " + frame.getBodyCase());
             }
         }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -173,56 +173,58 @@
       "ains\030\007 \001(\r\"\214\001\n\031PrimaryObservationMessage" +
       "\022\r\n\005group\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsilen" +
       "t_millis\030\003 \001(\r\022\017\n\007refused\030\004 \001(\010\022\023\n\013holds" +
-      "_lease\030\005 \001(\010\022\023\n\013needs_lease\030\006 \001(\010\"\222\002\n\021No" +
+      "_lease\030\005 \001(\010\022\023\n\013needs_lease\030\006 \001(\010\"\243\002\n\021No" +
       "deReportMessage\022\r\n\005proxy\030\001 \001(\t\022\027\n\017routes" +
       "_revision\030\002 \001(\004\022\030\n\020servers_revision\030\003 \001(" +
       "\004\022C\n\tprimaries\030\004 \003(\01320.ragwortmoor.direc" +
       "tory.PrimaryObservationMessage\022\n\n\002id\030\005 \001" +
       "(\004\022\023\n\013incarnation\030\006 \001(\006\022\016\n\006domain\030\007 \001(\t\022" +
       "\032\n\022forwarding_address\030\010 \001(\t\022\027\n\017neighbour" +
-      "s_hash\030\t \001(\006\022\020\n\010stopping\030\n \001(\010\"\344\001\n\027Route" +
-      "TableChangeMessage\022\025\n\rbase_revision\030\001 \001(" +
-      "\004\022\017\n\007version\030\002 \001(\004\022\017\n\007removed\030\003 \003(\t\0224\n\007c" +
-      "hanged\030\004 \003(\0132#.ragwortmoor.directory.Rou" +
-      "teMessage\0229\n\006groups\030\005 \003(\0132).ragwortmoor." +
-      "directory.GroupLimitsMessage\022\037\n\027idle_tra" +
-      "nsaction_millis\030\006 \001(\r\"1\n\020NeighbourMessag" +
-      "e\022\014\n\004name\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\"\252\004\n\026Dir" +
-      "ectoryUpdateMessage\022\016\n\006leader\030\001 \001(\010\022\017\n\007m" +
-      "embers\030\002 \003(\t\022\017\n\007proxies\030\003 \001(\r\022\027\n\017routes_" +
-      "revision\030\004 \001(\004\0228\n\006routes\030\005 \001(\0132(.ragwort" +
-      "moor.directory.RouteTableMessage\022\030\n\020serv" +
-      "ers_revision\030\006 \001(\004\022\023\n\013has_servers\030\007 \001(\010\022" +
-      "5\n\007servers\030\010 \003(\0132$.ragwortmoor.directory" +
-      ".ServerMessage\022\021\n\treport_id\030\t \001(\004\022\024\n\014lea" +
-      "se_millis\030\n \001(\r\022\027\n\017withheld_groups\030\013 \003(\t" +
-      "\022\017\n\007domains\030\014 \001(\r\022\027\n\017neighbours_hash\030\r \001" +
-      "(\006\022;\n\nneighbours\030\016 \003(\0132\'.ragwortmoor.dir" +
-      "ectory.NeighbourMessage\022\026\n\016needs_identit" +
-      "y\030\017 \001(\010\022E\n\rroutes_change\030\020 \001(\0132..ragwort" +
-      "moor.directory.RouteTableChangeMessage\022\035" +
-      "\n\025servers_base_revision\030\021 \001(\004\"A\n\013JoinMes" +
-      "sage\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022" +
-      "\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedRequestMes" +
-      "sage\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030\002 \001(\0132(.r" +
-      "agwortmoor.directory.RouteTableMessageH\000" +
-      "\022H\n\014announcement\030\003 \001(\01320.ragwortmoor.dir" +
-      "ectory.ServerAnnouncementMessageH\000\022\025\n\013re" +
-      "ad_routes\030\004 \001(\010H\000B\t\n\007request\"c\n\031ServerAn" +
-      "nouncementMessage\0224\n\006server\030\001 \001(\0132$.ragw" +
-      "ortmoor.directory.ServerMessage\022\020\n\010seque" +
-      "nce\030\002 \001(\004\"E\n\026ForwardedAnswerMessage\022\n\n\002i" +
-      "d\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006source\030\003 \001(\t" +
-      "\"\317\002\n\020DirectoryMessage\022:\n\006report\030\001 \001(\0132(." +
-      "ragwortmoor.directory.NodeReportMessageH" +
-      "\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor.director" +
-      "y.DirectoryUpdateMessageH\000\0222\n\004join\030\003 \001(\013" +
-      "2\".ragwortmoor.directory.JoinMessageH\000\022A" +
-      "\n\007request\030\004 \001(\0132..ragwortmoor.directory." +
-      "ForwardedRequestMessageH\000\022?\n\006answer\030\005 \001(" +
-      "\0132-.ragwortmoor.directory.ForwardedAnswe" +
-      "rMessageH\000B\006\n\004bodyB!\n\035org.ragwortmoor.pr" +
-      "otocol.wireP\001b\006proto3"
+      "s_hash\030\t \001(\006\022\020\n\010stopping\030\n \001(\010\022\017\n\007relaye" +
+      "d\030\013 \001(\010\"\344\001\n\027RouteTableChangeMessage\022\025\n\rb" +
+      "ase_revision\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\017\n\007r" +
+      "emoved\030\003 \003(\t\0224\n\007changed\030\004 \003(\0132#.ragwortm" +
+      "oor.directory.RouteMessage\0229\n\006groups\030\005 \003" +
+      "(\0132).ragwortmoor.directory.GroupLimitsMe" +
+      "ssage\022\037\n\027idle_transaction_millis\030\006 \001(\r\"1" +
+      "\n\020NeighbourMessage\022\014\n\004name\030\001 \001(\t\022\017\n\007addr" +
+      "ess\030\002 \001(\t\"\370\004\n\026DirectoryUpdateMessage\022\016\n\006" +
+      "leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxies" +
+      "\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006route" +
+      "s\030\005 \001(\0132(.ragwortmoor.directory.RouteTab" +
+      "leMessage\022\030\n\020servers_revision\030\006 \001(\004\022\023\n\013h" +
+      "as_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.ragw" +
+      "ortmoor.directory.ServerMessage\022\021\n\trepor" +
+      "t_id\030\t \001(\004\022\024\n\014lease_millis\030\n \001(\r\022\027\n\017with" +
+      "held_groups\030\013 \003(\t\022\017\n\007domains\030\014 \001(\r\022\027\n\017ne" +
+      "ighbours_hash\030\r \001(\006\022;\n\nneighbours\030\016 \003(\0132" +
+      "\'.ragwortmoor.directory.NeighbourMessage" +
+      "\022\026\n\016needs_identity\030\017 \001(\010\022E\n\rroutes_chang" +
+      "e\030\020 \001(\0132..ragwortmoor.directory.RouteTab" +
+      "leChangeMessage\022\023\n\013destination\030\022 \001(\t\0227\n\006" +
+      "relays\030\023 \003(\0132\'.ragwortmoor.directory.Nei" +
+      "ghbourMessage\022\035\n\025servers_base_revision\030\021" +
+      " \001(\004\"A\n\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027Forw" +
+      "ardedRequestMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput_r" +
+      "outes\030\002 \001(\0132(.ragwortmoor.directory.Rout" +
+      "eTableMessageH\000\022H\n\014announcement\030\003 \001(\01320." +
+      "ragwortmoor.directory.ServerAnnouncement" +
+      "MessageH\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007requ" +
+      "est\"c\n\031ServerAnnouncementMessage\0224\n\006serv" +
+      "er\030\001 \001(\0132$.ragwortmoor.directory.ServerM" +
+      "essage\022\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedAns" +
+      "werMessage\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022" +
+      "\016\n\006source\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:\n\006" +
+      "report\030\001 \001(\0132(.ragwortmoor.directory.Nod" +
+      "eReportMessageH\000\022?\n\006update\030\002 \001(\0132-.ragwo" +
+      "rtmoor.directory.DirectoryUpdateMessageH" +
+      "\000\0222\n\004join\030\003 \001(\0132\".ragwortmoor.directory." +
+      "JoinMessageH\000\022A\n\007request\030\004 \001(\0132..ragwort" +
+      "moor.directory.ForwardedRequestMessageH\000" +
+      "\022?\n\006answer\030\005 \001(\0132-.ragwortmoor.directory" +
+      ".ForwardedAnswerMessageH\000B\006\n\004bodyB!\n\035org" +
+      ".ragwortmoor.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -293,7 +295,7 @@
     internal_static_ragwortmoor_directory_NodeReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NodeReportMessage_descriptor,
-        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", });
+        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", "Relayed", });
     internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_ragwortmoor_directory_RouteTableChangeMessage_fieldAccessorTable = new
@@ -311,7 +313,7 @@
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor,
-        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", "Domains", "NeighboursHash", "Neighbours", "NeedsIdentity", "RoutesChange", "ServersBaseRevision", });
+        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", "Domains", "NeighboursHash", "Neighbours", "NeedsIdentity", "RoutesChange", "Destination", "Relays", "ServersBaseRevision", });
     internal_static_ragwortmoor_directory_JoinMessage_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_ragwortmoor_directory_JoinMessage_fieldAccessorTable = new
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
@@ -34,6 +34,8 @@
     withheldGroups_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     neighbours_ = java.util.Collections.emptyList();
+    destination_ = "";
+    relays_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -416,6 +418,114 @@
     return routesChange_ == null ? org.ragwortmoor.protocol.wire.RouteTableChangeMessage.getDefaultInstance() : routesChange_;
   }
 
+  public static final int DESTINATION_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object destination_ = "";
+  /**
+   * <pre>
+   * Proxy to which the update is passed on; empty if it is for the receiver.
+   * </pre>
+   *
+   * <code>string destination = 18;</code>
+   * @return The destination.
+   */
+  @java.lang.Override
+  public java.lang.String getDestination() {
+    java.lang.Object ref = destination_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      destination_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Proxy to which the update is passed on; empty if it is for the receiver.
+   * </pre>
+   *
+   * <code>string destination = 18;</code>
+   * @return The bytes for destination.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDestinationBytes() {
+    java.lang.Object ref = destination_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      destination_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int RELAYS_FIELD_NUMBER = 19;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragwortmoor.protocol.wire.NeighbourMessage> relays_;
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortmoor.protocol.wire.NeighbourMessage> getRelaysList() {
+    return relays_;
+  }
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder> 
+      getRelaysOrBuilderList() {
+    return relays_;
+  }
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  @java.lang.Override
+  public int getRelaysCount() {
+    return relays_.size();
+  }
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.NeighbourMessage getRelays(int index) {
+    return relays_.get(index);
+  }
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder getRelaysOrBuilder(
+      int index) {
+    return relays_.get(index);
+  }
+
   public static final int SERVERS_BASE_REVISION_FIELD_NUMBER = 17;
   private long serversBaseRevision_ = 0L;
   /**
@@ -496,6 +606,12 @@
     if (serversBaseRevision_ != 0L) {
       output.writeUInt64(17, serversBaseRevision_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(destination_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 18, destination_);
+    }
+    for (int i = 0; i < relays_.size(); i++) {
+      output.writeMessage(19, relays_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -581,6 +697,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(17, serversBaseRevision_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(destination_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(18, destination_);
+    }
+    for (int i = 0; i < relays_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, relays_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -634,6 +757,10 @@
       if (!getRoutesChange()
           .equals(other.getRoutesChange())) return false;
     }
+    if (!getDestination()
+        .equals(other.getDestination())) return false;
+    if (!getRelaysList()
+        .equals(other.getRelaysList())) return false;
     if (getServersBaseRevision()
         != other.getServersBaseRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -698,6 +825,12 @@
       hash = (37 * hash) + ROUTES_CHANGE_FIELD_NUMBER;
       hash = (53 * hash) + getRoutesChange().hashCode();
     }
+    hash = (37 * hash) + DESTINATION_FIELD_NUMBER;
+    hash = (53 * hash) + getDestination().hashCode();
+    if (getRelaysCount() > 0) {
+      hash = (37 * hash) + RELAYS_FIELD_NUMBER;
+      hash = (53 * hash) + getRelaysList().hashCode();
+    }
     hash = (37 * hash) + SERVERS_BASE_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getServersBaseRevision());
@@ -835,6 +968,7 @@
         internalGetServersFieldBuilder();
         internalGetNeighboursFieldBuilder();
         internalGetRoutesChangeFieldBuilder();
+        internalGetRelaysFieldBuilder();
       }
     }
     @java.lang.Override
@@ -879,6 +1013,14 @@
         routesChangeBuilder_.dispose();
         routesChangeBuilder_ = null;
       }
+      destination_ = "";
+      if (relaysBuilder_ == null) {
+        relays_ = java.util.Collections.emptyList();
+      } else {
+        relays_ = null;
+        relaysBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00020000);
       serversBaseRevision_ = 0L;
       return this;
     }
@@ -931,6 +1073,15 @@
       } else {
         result.neighbours_ = neighboursBuilder_.build();
       }
+      if (relaysBuilder_ == null) {
+        if (((bitField0_ & 0x00020000) != 0)) {
+          relays_ = java.util.Collections.unmodifiableList(relays_);
+          bitField0_ = (bitField0_ & ~0x00020000);
+        }
+        result.relays_ = relays_;
+      } else {
+        result.relays_ = relaysBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragwortmoor.protocol.wire.DirectoryUpdateMessage result) {
@@ -987,6 +1138,9 @@
         to_bitField0_ |= 0x00000002;
       }
       if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.destination_ = destination_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
         result.serversBaseRevision_ = serversBaseRevision_;
       }
       result.bitField0_ |= to_bitField0_;
@@ -1112,6 +1266,37 @@
       if (other.hasRoutesChange()) {
         mergeRoutesChange(other.getRoutesChange());
       }
+      if (!other.getDestination().isEmpty()) {
+        destination_ = other.destination_;
+        bitField0_ |= 0x00010000;
+        onChanged();
+      }
+      if (relaysBuilder_ == null) {
+        if (!other.relays_.isEmpty()) {
+          if (relays_.isEmpty()) {
+            relays_ = other.relays_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+          } else {
+            ensureRelaysIsMutable();
+            relays_.addAll(other.relays_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.relays_.isEmpty()) {
+          if (relaysBuilder_.isEmpty()) {
+            relaysBuilder_.dispose();
+            relaysBuilder_ = null;
+            relays_ = other.relays_;
+            bitField0_ = (bitField0_ & ~0x00020000);
+            relaysBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetRelaysFieldBuilder() : null;
+          } else {
+            relaysBuilder_.addAllMessages(other.relays_);
+          }
+        }
+      }
       if (other.getServersBaseRevision() != 0L) {
         setServersBaseRevision(other.getServersBaseRevision());
       }
@@ -1245,9 +1430,27 @@
             } // case 130
             case 136: {
               serversBaseRevision_ = input.readUInt64();
-              bitField0_ |= 0x00010000;
+              bitField0_ |= 0x00040000;
               break;
             } // case 136
+            case 146: {
+              destination_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 146
+            case 154: {
+              org.ragwortmoor.protocol.wire.NeighbourMessage m =
+                  input.readMessage(
+                      org.ragwortmoor.protocol.wire.NeighbourMessage.parser(),
+                      extensionRegistry);
+              if (relaysBuilder_ == null) {
+                ensureRelaysIsMutable();
+                relays_.add(m);
+              } else {
+                relaysBuilder_.addMessage(m);
+              }
+              break;
+            } // case 154
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2661,6 +2864,410 @@
       return routesChangeBuilder_;
     }
 
+    private java.lang.Object destination_ = "";
+    /**
+     * <pre>
+     * Proxy to which the update is passed on; empty if it is for the receiver.
+     * </pre>
+     *
+     * <code>string destination = 18;</code>
+     * @return The destination.
+     */
+    public java.lang.String getDestination() {
+      java.lang.Object ref = destination_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        destination_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Proxy to which the update is passed on; empty if it is for the receiver.
+     * </pre>
+     *
+     * <code>string destination = 18;</code>
+     * @return The bytes for destination.
+     */
+    public com.google.protobuf.ByteString
+        getDestinationBytes() {
+      java.lang.Object ref = destination_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        destination_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Proxy to which the update is passed on; empty if it is for the receiver.
+     * </pre>
+     *
+     * <code>string destination = 18;</code>
+     * @param value The destination to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDestination(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      destination_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Proxy to which the update is passed on; empty if it is for the receiver.
+     * </pre>
+     *
+     * <code>string destination = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDestination() {
+      destination_ = getDefaultInstance().getDestination();
+      bitField0_ = (bitField0_ & ~0x00010000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Proxy to which the update is passed on; empty if it is for the receiver.
+     * </pre>
+     *
+     * <code>string destination = 18;</code>
+     * @param value The bytes for destination to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDestinationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      destination_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.ragwortmoor.protocol.wire.NeighbourMessage> relays_ =
+      java.util.Collections.emptyList();
+    private void ensureRelaysIsMutable() {
+      if (!((bitField0_ & 0x00020000) != 0)) {
+        relays_ = new java.util.ArrayList<org.ragwortmoor.protocol.wire.NeighbourMessage>(relays_);
+        bitField0_ |= 0x00020000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.NeighbourMessage, org.ragwortmoor.protocol.wire.NeighbourMessage.Builder, org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder> relaysBuilder_;
+
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.NeighbourMessage> getRelaysList() {
+      if (relaysBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(relays_);
+      } else {
+        return relaysBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public int getRelaysCount() {
+      if (relaysBuilder_ == null) {
+        return relays_.size();
+      } else {
+        return relaysBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public org.ragwortmoor.protocol.wire.NeighbourMessage getRelays(int index) {
+      if (relaysBuilder_ == null) {
+        return relays_.get(index);
+      } else {
+        return relaysBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder setRelays(
+        int index, org.ragwortmoor.protocol.wire.NeighbourMessage value) {
+      if (relaysBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRelaysIsMutable();
+        relays_.set(index, value);
+        onChanged();
+      } else {
+        relaysBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder setRelays(
+        int index, org.ragwortmoor.protocol.wire.NeighbourMessage.Builder builderForValue) {
+      if (relaysBuilder_ == null) {
+        ensureRelaysIsMutable();
+        relays_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        relaysBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder addRelays(org.ragwortmoor.protocol.wire.NeighbourMessage value) {
+      if (relaysBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRelaysIsMutable();
+        relays_.add(value);
+        onChanged();
+      } else {
+        relaysBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder addRelays(
+        int index, org.ragwortmoor.protocol.wire.NeighbourMessage value) {
+      if (relaysBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureRelaysIsMutable();
+        relays_.add(index, value);
+        onChanged();
+      } else {
+        relaysBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder addRelays(
+        org.ragwortmoor.protocol.wire.NeighbourMessage.Builder builderForValue) {
+      if (relaysBuilder_ == null) {
+        ensureRelaysIsMutable();
+        relays_.add(builderForValue.build());
+        onChanged();
+      } else {
+        relaysBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder addRelays(
+        int index, org.ragwortmoor.protocol.wire.NeighbourMessage.Builder builderForValue) {
+      if (relaysBuilder_ == null) {
+        ensureRelaysIsMutable();
+        relays_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        relaysBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder addAllRelays(
+        java.lang.Iterable<? extends org.ragwortmoor.protocol.wire.NeighbourMessage> values) {
+      if (relaysBuilder_ == null) {
+        ensureRelaysIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, relays_);
+        onChanged();
+      } else {
+        relaysBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder clearRelays() {
+      if (relaysBuilder_ == null) {
+        relays_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00020000);
+        onChanged();
+      } else {
+        relaysBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public Builder removeRelays(int index) {
+      if (relaysBuilder_ == null) {
+        ensureRelaysIsMutable();
+        relays_.remove(index);
+        onChanged();
+      } else {
+        relaysBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public org.ragwortmoor.protocol.wire.NeighbourMessage.Builder getRelaysBuilder(
+        int index) {
+      return internalGetRelaysFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder getRelaysOrBuilder(
+        int index) {
+      if (relaysBuilder_ == null) {
+        return relays_.get(index);  } else {
+        return relaysBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public java.util.List<? extends org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder> 
+         getRelaysOrBuilderList() {
+      if (relaysBuilder_ != null) {
+        return relaysBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(relays_);
+      }
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public org.ragwortmoor.protocol.wire.NeighbourMessage.Builder addRelaysBuilder() {
+      return internalGetRelaysFieldBuilder().addBuilder(
+          org.ragwortmoor.protocol.wire.NeighbourMessage.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public org.ragwortmoor.protocol.wire.NeighbourMessage.Builder addRelaysBuilder(
+        int index) {
+      return internalGetRelaysFieldBuilder().addBuilder(
+          index, org.ragwortmoor.protocol.wire.NeighbourMessage.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.NeighbourMessage.Builder> 
+         getRelaysBuilderList() {
+      return internalGetRelaysFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.NeighbourMessage, org.ragwortmoor.protocol.wire.NeighbourMessage.Builder, org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder> 
+        internalGetRelaysFieldBuilder() {
+      if (relaysBuilder_ == null) {
+        relaysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragwortmoor.protocol.wire.NeighbourMessage, org.ragwortmoor.protocol.wire.NeighbourMessage.Builder, org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder>(
+                relays_,
+                ((bitField0_ & 0x00020000) != 0),
+                getParentForChildren(),
+                isClean());
+        relays_ = null;
+      }
+      return relaysBuilder_;
+    }
+
     private long serversBaseRevision_ ;
     /**
      * <pre>
@@ -2686,7 +3293,7 @@
     public Builder setServersBaseRevision(long value) {
 
       serversBaseRevision_ = value;
-      bitField0_ |= 0x00010000;
+      bitField0_ |= 0x00040000;
       onChanged();
       return this;
     }
@@ -2699,7 +3306,7 @@
      * @return This builder for chaining.
      */
     public Builder clearServersBaseRevision() {
-      bitField0_ = (bitField0_ & ~0x00010000);
+      bitField0_ = (bitField0_ & ~0x00040000);
       serversBaseRevision_ = 0L;
       onChanged();
       return this;
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
@@ -246,6 +246,70 @@
    */
   org.ragwortmoor.protocol.wire.RouteTableChangeMessageOrBuilder getRoutesChangeOrBuilder();
 
+  /**
+   * <pre>
+   * Proxy to which the update is passed on; empty if it is for the receiver.
+   * </pre>
+   *
+   * <code>string destination = 18;</code>
+   * @return The destination.
+   */
+  java.lang.String getDestination();
+  /**
+   * <pre>
+   * Proxy to which the update is passed on; empty if it is for the receiver.
+   * </pre>
+   *
+   * <code>string destination = 18;</code>
+   * @return The bytes for destination.
+   */
+  com.google.protobuf.ByteString
+      getDestinationBytes();
+
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  java.util.List<org.ragwortmoor.protocol.wire.NeighbourMessage> 
+      getRelaysList();
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  org.ragwortmoor.protocol.wire.NeighbourMessage getRelays(int index);
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  int getRelaysCount();
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  java.util.List<? extends org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder> 
+      getRelaysOrBuilderList();
+  /**
+   * <pre>
+   * Some proxies of other failure domains, which may pass on reports; listed with the neighbours.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.NeighbourMessage relays = 19;</code>
+   */
+  org.ragwortmoor.protocol.wire.NeighbourMessageOrBuilder getRelaysOrBuilder(
+      int index);
+
   /**
    * <pre>
    * Revision of the servers to which the listed servers are changes; 0 if all are listed.
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Forwarding.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Forwarding.java
@@ -94,14 +94,15 @@
       "agwortmoor.forwarding.ForwardedSuccessMe" +
       "ssageH\000\022A\n\006failed\030\003 \001(\0132/.ragwortmoor.fo" +
       "rwarding.ForwardedFailureMessageH\000\022\022\n\010de" +
-      "clined\030\004 \001(\tH\000B\010\n\006result\"\343\001\n\017ForwardingF" +
+      "clined\030\004 \001(\tH\000B\010\n\006result\"\207\002\n\017ForwardingF" +
       "rame\022\017\n\005hello\030\001 \001(\tH\000\022F\n\tstatement\030\002 \001(\013" +
       "21.ragwortmoor.forwarding.ForwardedState" +
       "mentMessageH\000\022@\n\006result\030\003 \001(\0132..ragwortm" +
       "oor.forwarding.ForwardedResultMessageH\000\022" +
       "\r\n\003end\030\004 \001(\004H\000\022\016\n\004ping\030\005 \001(\004H\000\022\016\n\004pong\030\006" +
-      " \001(\004H\000B\006\n\004bodyB!\n\035org.ragwortmoor.protoc" +
-      "ol.wireP\001b\006proto3"
+      " \001(\004H\000\022\020\n\006report\030\007 \001(\014H\000\022\020\n\006update\030\010 \001(\014" +
+      "H\000B\006\n\004bodyB!\n\035org.ragwortmoor.protocol.w" +
+      "ireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -149,7 +150,7 @@
     internal_static_ragwortmoor_forwarding_ForwardingFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_forwarding_ForwardingFrame_descriptor,
-        new java.lang.String[] { "Hello", "Statement", "Result", "End", "Ping", "Pong", "Body", });
+        new java.lang.String[] { "Hello", "Statement", "Result", "End", "Ping", "Pong", "Report", "Update", "Body", });
     descriptor.resolveAllFeaturesImmutable();
     org.ragwortmoor.protocol.wire.Directory.getDescriptor();
   }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardingFrame.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardingFrame.java
@@ -55,6 +55,8 @@
     END(4),
     PING(5),
     PONG(6),
+    REPORT(7),
+    UPDATE(8),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -78,6 +80,8 @@
         case 4: return END;
         case 5: return PING;
         case 6: return PONG;
+        case 7: return REPORT;
+        case 8: return UPDATE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -298,6 +302,64 @@
     return 0L;
   }
 
+  public static final int REPORT_FIELD_NUMBER = 7;
+  /**
+   * <pre>
+   * Directory message with a report that the receiver passes on to the directory's leader.
+   * </pre>
+   *
+   * <code>bytes report = 7;</code>
+   * @return Whether the report field is set.
+   */
+  @java.lang.Override
+  public boolean hasReport() {
+    return bodyCase_ == 7;
+  }
+  /**
+   * <pre>
+   * Directory message with a report that the receiver passes on to the directory's leader.
+   * </pre>
+   *
+   * <code>bytes report = 7;</code>
+   * @return The report.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getReport() {
+    if (bodyCase_ == 7) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
+  public static final int UPDATE_FIELD_NUMBER = 8;
+  /**
+   * <pre>
+   * Directory message with the leader's answer to such a report.
+   * </pre>
+   *
+   * <code>bytes update = 8;</code>
+   * @return Whether the update field is set.
+   */
+  @java.lang.Override
+  public boolean hasUpdate() {
+    return bodyCase_ == 8;
+  }
+  /**
+   * <pre>
+   * Directory message with the leader's answer to such a report.
+   * </pre>
+   *
+   * <code>bytes update = 8;</code>
+   * @return The update.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getUpdate() {
+    if (bodyCase_ == 8) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -333,6 +395,14 @@
       output.writeUInt64(
           6, (long)((java.lang.Long) body_));
     }
+    if (bodyCase_ == 7) {
+      output.writeBytes(
+          7, (com.google.protobuf.ByteString) body_);
+    }
+    if (bodyCase_ == 8) {
+      output.writeBytes(
+          8, (com.google.protobuf.ByteString) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -368,6 +438,16 @@
         .computeUInt64Size(
             6, (long)((java.lang.Long) body_));
     }
+    if (bodyCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            7, (com.google.protobuf.ByteString) body_);
+    }
+    if (bodyCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            8, (com.google.protobuf.ByteString) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -409,6 +489,14 @@
         if (getPong()
             != other.getPong()) return false;
         break;
+      case 7:
+        if (!getReport()
+            .equals(other.getReport())) return false;
+        break;
+      case 8:
+        if (!getUpdate()
+            .equals(other.getUpdate())) return false;
+        break;
       case 0:
       default:
     }
@@ -451,6 +539,14 @@
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
             getPong());
         break;
+      case 7:
+        hash = (37 * hash) + REPORT_FIELD_NUMBER;
+        hash = (53 * hash) + getReport().hashCode();
+        break;
+      case 8:
+        hash = (37 * hash) + UPDATE_FIELD_NUMBER;
+        hash = (53 * hash) + getUpdate().hashCode();
+        break;
       case 0:
       default:
     }
@@ -681,6 +777,14 @@
           setPong(other.getPong());
           break;
         }
+        case REPORT: {
+          setReport(other.getReport());
+          break;
+        }
+        case UPDATE: {
+          setUpdate(other.getUpdate());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -746,6 +850,16 @@
               bodyCase_ = 6;
               break;
             } // case 48
+            case 58: {
+              body_ = input.readBytes();
+              bodyCase_ = 7;
+              break;
+            } // case 58
+            case 66: {
+              body_ = input.readBytes();
+              bodyCase_ = 8;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1337,6 +1451,122 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Directory message with a report that the receiver passes on to the directory's leader.
+     * </pre>
+     *
+     * <code>bytes report = 7;</code>
+     * @return Whether the report field is set.
+     */
+    public boolean hasReport() {
+      return bodyCase_ == 7;
+    }
+    /**
+     * <pre>
+     * Directory message with a report that the receiver passes on to the directory's leader.
+     * </pre>
+     *
+     * <code>bytes report = 7;</code>
+     * @return The report.
+     */
+    public com.google.protobuf.ByteString getReport() {
+      if (bodyCase_ == 7) {
+        return (com.google.protobuf.ByteString) body_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <pre>
+     * Directory message with a report that the receiver passes on to the directory's leader.
+     * </pre>
+     *
+     * <code>bytes report = 7;</code>
+     * @param value The report to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReport(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      bodyCase_ = 7;
+      body_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Directory message with a report that the receiver passes on to the directory's leader.
+     * </pre>
+     *
+     * <code>bytes report = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReport() {
+      if (bodyCase_ == 7) {
+        bodyCase_ = 0;
+        body_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Directory message with the leader's answer to such a report.
+     * </pre>
+     *
+     * <code>bytes update = 8;</code>
+     * @return Whether the update field is set.
+     */
+    public boolean hasUpdate() {
+      return bodyCase_ == 8;
+    }
+    /**
+     * <pre>
+     * Directory message with the leader's answer to such a report.
+     * </pre>
+     *
+     * <code>bytes update = 8;</code>
+     * @return The update.
+     */
+    public com.google.protobuf.ByteString getUpdate() {
+      if (bodyCase_ == 8) {
+        return (com.google.protobuf.ByteString) body_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <pre>
+     * Directory message with the leader's answer to such a report.
+     * </pre>
+     *
+     * <code>bytes update = 8;</code>
+     * @param value The update to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUpdate(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      bodyCase_ = 8;
+      body_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Directory message with the leader's answer to such a report.
+     * </pre>
+     *
+     * <code>bytes update = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUpdate() {
+      if (bodyCase_ == 8) {
+        bodyCase_ = 0;
+        body_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.forwarding.ForwardingFrame)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardingFrameOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardingFrameOrBuilder.java
@@ -118,5 +118,43 @@
    */
   long getPong();
 
+  /**
+   * <pre>
+   * Directory message with a report that the receiver passes on to the directory's leader.
+   * </pre>
+   *
+   * <code>bytes report = 7;</code>
+   * @return Whether the report field is set.
+   */
+  boolean hasReport();
+  /**
+   * <pre>
+   * Directory message with a report that the receiver passes on to the directory's leader.
+   * </pre>
+   *
+   * <code>bytes report = 7;</code>
+   * @return The report.
+   */
+  com.google.protobuf.ByteString getReport();
+
+  /**
+   * <pre>
+   * Directory message with the leader's answer to such a report.
+   * </pre>
+   *
+   * <code>bytes update = 8;</code>
+   * @return Whether the update field is set.
+   */
+  boolean hasUpdate();
+  /**
+   * <pre>
+   * Directory message with the leader's answer to such a report.
+   * </pre>
+   *
+   * <code>bytes update = 8;</code>
+   * @return The update.
+   */
+  com.google.protobuf.ByteString getUpdate();
+
   org.ragwortmoor.protocol.wire.ForwardingFrame.BodyCase getBodyCase();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
@@ -295,6 +295,21 @@
     return stopping_;
   }
 
+  public static final int RELAYED_FIELD_NUMBER = 11;
+  private boolean relayed_ = false;
+  /**
+   * <pre>
+   * Whether another proxy has passed on the report.
+   * </pre>
+   *
+   * <code>bool relayed = 11;</code>
+   * @return The relayed.
+   */
+  @java.lang.Override
+  public boolean getRelayed() {
+    return relayed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -339,6 +354,9 @@
     if (stopping_ != false) {
       output.writeBool(10, stopping_);
     }
+    if (relayed_ != false) {
+      output.writeBool(11, relayed_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -385,6 +403,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(10, stopping_);
     }
+    if (relayed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(11, relayed_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -420,6 +442,8 @@
         != other.getNeighboursHash()) return false;
     if (getStopping()
         != other.getStopping()) return false;
+    if (getRelayed()
+        != other.getRelayed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -459,6 +483,9 @@
     hash = (37 * hash) + STOPPING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStopping());
+    hash = (37 * hash) + RELAYED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRelayed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -606,6 +633,7 @@
       forwardingAddress_ = "";
       neighboursHash_ = 0L;
       stopping_ = false;
+      relayed_ = false;
       return this;
     }
 
@@ -679,6 +707,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.stopping_ = stopping_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.relayed_ = relayed_;
+      }
     }
 
     @java.lang.Override
@@ -752,6 +783,9 @@
       if (other.getStopping() != false) {
         setStopping(other.getStopping());
       }
+      if (other.getRelayed() != false) {
+        setRelayed(other.getRelayed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -836,6 +870,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              relayed_ = input.readBool();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1569,6 +1608,50 @@
       return this;
     }
 
+    private boolean relayed_ ;
+    /**
+     * <pre>
+     * Whether another proxy has passed on the report.
+     * </pre>
+     *
+     * <code>bool relayed = 11;</code>
+     * @return The relayed.
+     */
+    @java.lang.Override
+    public boolean getRelayed() {
+      return relayed_;
+    }
+    /**
+     * <pre>
+     * Whether another proxy has passed on the report.
+     * </pre>
+     *
+     * <code>bool relayed = 11;</code>
+     * @param value The relayed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRelayed(boolean value) {
+
+      relayed_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether another proxy has passed on the report.
+     * </pre>
+     *
+     * <code>bool relayed = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRelayed() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      relayed_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.NodeReportMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
@@ -129,4 +129,14 @@
    * @return The stopping.
    */
   boolean getStopping();
+
+  /**
+   * <pre>
+   * Whether another proxy has passed on the report.
+   * </pre>
+   *
+   * <code>bool relayed = 11;</code>
+   * @return The relayed.
+   */
+  boolean getRelayed();
 }
