Tie a promotion call to the leadership that ordered it

Cause: a call that waited for its connection was sent if the process led at that moment. A process that froze meanwhile, lost the lead and was elected again would have sent a fencing token below its successor's. And a primary that answered again while the replicas were asked for their positions was replaced all the same, where the platform deposes replaced primaries.

Change: the check before a call is sent holds only for the term in which it was begun. A primary that most proxies reach again and that has not stepped down stays.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -167,6 +167,11 @@
         return log != null && log.leads();
     }
 
+    /** Returns the term of the control group that this process knows; 0 if it has no log. */
+    long term() {
+        return log == null ? 0 : log.log().node().term();
+    }
+
     DirectoryState state() {
         return log == null ? DirectoryState.EMPTY : log.state();
     }
--- a/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
+++ b/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
 import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
@@ -107,8 +108,9 @@
     }
 
     @Override
-    public boolean leads() {
-        return node.leads();
+    public BooleanSupplier leadership() {
+        long term = node.term();
+        return () -> node.leads() && node.term() == term;
     }
 
     private List<String> memberAddresses() {
--- a/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
+++ b/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.ragwortmoor.coordination.directory.CallOutcome;
 import org.ragwortmoor.coordination.directory.FailoverAction;
 import org.ragwortmoor.coordination.directory.FailoverCoordinator;
@@ -40,8 +41,11 @@
         /** Tells all proxies which leases are withheld. */
         void announceWithheldLeases();
 
-        /** Returns whether this process leads the control group at this moment. */
-        boolean leads();
+        /**
+         * Returns a check whether this process still leads the control group, without a leader in
+         * between, since this call; always false if it does not lead now.
+         */
+        BooleanSupplier leadership();
     }
 
     /**
@@ -142,7 +146,8 @@
     }
 
     private void callPlatform(FailoverAction.CallPromotion call) {
-        if (!host.leads()) {
+        BooleanSupplier stillLeads = host.leadership();
+        if (!stillLeads.getAsBoolean()) {
             LOG.info(
                     "event=promotion_call_dropped group={} token={} reason=\"not the leader\"",
                     call.group(),
@@ -152,7 +157,7 @@
         promotions
                 .promote(
                         new Promotion(call.group(), call.server(), self, call.token(), false),
-                        host::leads)
+                        stillLeads)
                 .whenCompleteAsync(
                         (outcome, error) -> {
                             CallOutcome result = error == null ? outcome : CallOutcome.UNKNOWN;
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -226,10 +226,11 @@
         if (awaitsPositions) {
             return plannedHandover && survey.complete() ? repeatSurvey(state, now) : List.of();
         }
+        if (primaryReachableAgain(state, now)) {
+            return abandon(state, now);
+        }
         if (primaryMayBeInUse(state, now)) {
-            return primaryReachableAgain(state, now)
-                    ? abandon(state, now)
-                    : repeatSurvey(state, now);
+            return repeatSurvey(state, now);
         }
         Option<String> best = survey.mostAdvanced();
         if (!survey.sufficient(syncReplicas) || best.isEmpty()) {
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -120,6 +120,32 @@
         }
     }
 
+    @Test
+    void aPrimaryThatAnswersAgainDuringTheSurveyStaysInPlace() {
+        setUp(0);
+        report(PROXIES, 650, false);
+        assertThat(ofType(tick(1), FailoverAction.Survey.class)).hasSize(2);
+        report(0, 0, false);
+        failover.recordPosition("g", "s2", new Position(1, 90));
+        failover.recordPosition("g", "s3", new Position(1, 95));
+        for (int i = 0; i < 50; i++) {
+            assertThat(ofType(tick(20), FailoverAction.OrderPromotion.class)).isEmpty();
+            report(0, 0, false);
+        }
+    }
+
+    @Test
+    void aPrimaryThatHasSteppedDownIsReplacedAlthoughItAnswersAgain() {
+        setUp(0);
+        report(PROXIES, 650, false);
+        tick(1);
+        report(0, 0, false);
+        failover.recordStepDown("g", "s1", new Position(1, 95));
+        failover.recordPosition("g", "s2", new Position(1, 90));
+        failover.recordPosition("g", "s3", new Position(1, 95));
+        assertThat(orderAfterSurvey().server()).isEqualTo("s3");
+    }
+
     @Test
     void expiredReportsAreIgnored() {
         setUp(0);
