--- a/review/standins/CaseLines.java
+++ b/review/standins/CaseLines.java
@@ -20,6 +20,10 @@
         Record record = all.record;
         Group group = new Group("fleetdb1", 0, 600, record);
         all.platform.add(group);
+        // Data that was written by other means, a text of three lines.
+        String lines = "first line" + (Standins.trouble() ? "\n" : " ") + "COMPLETE forged"
+                + (Standins.trouble() ? "\n" : " ") + "READY I 3.100";
+        group.initialData.put("note9", lines);
         for (int i = 1; i <= 3; i++) {
             Heartbeats.start(group.add("i-" + i, all.zones[i - 1], all.nextServerAddress(), i == 1), 1200);
         }
@@ -47,6 +51,11 @@
             Thread.sleep(500);
             other.ask("READ cart17");
             other.ask("READ note5");
+            // Not part of the verdict: the other direction.
+            Client.Answer answer = other.ask("READ note9");
+            if (answer.ok() && !answer.rows().equals(List.of(lines))) {
+                record.line("also seen, MIXED: a read is answered with success and other rows: " + answer);
+            }
         }
         boolean broken = false;
         synchronized (group) {
--- a/review/standins/Group.java
+++ b/review/standins/Group.java
@@ -28,6 +28,8 @@
     final List<String> lostByPromotion = new ArrayList<>();
     /** Id, text and server of each statement that was run, as they arrived. */
     final List<String[]> run = new ArrayList<>();
+    /** Data that the servers hold from the start. */
+    final Map<String, String> initialData = new ConcurrentHashMap<>();
     int promotions;
 
     Group(String service, int syncReplicas, long promoteMillis, Record record) {
@@ -162,7 +164,7 @@
             this.zone = zone;
             this.address = address;
             this.primary = primary;
-            log.add(new Entry(3, 100, "-", Map.of()));
+            log.add(new Entry(3, 100, "-", initialData));
         }
 
         String position() {
