--- a/review/standins/Platform.java
+++ b/review/standins/Platform.java
@@ -10,6 +10,8 @@
     private final Map<String, Group> groups = new ConcurrentHashMap<>();
     private final Map<String, Long> tokens = new HashMap<>();
     private final Record record;
+    /** Whether the platform is down: calls are neither answered nor carried out. */
+    volatile boolean down;
 
     Platform(InetSocketAddress address, Record record) throws IOException {
         this.record = record;
@@ -18,6 +20,10 @@
         server.createContext(
                 "/promotions",
                 exchange -> {
+                    if (down) {
+                        record.line("POST /promotions reaches the platform, which is down");
+                        return;
+                    }
                     String body =
                             new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
                     int status =
