Give instructions to servers by their own term, and end surveys that get no answer

Cause: the term of the instruction was taken from the last log position, which is one term behind until the first commit; and ServerSurvey relied on the server to end the connection.

Change: the row that answers an instruction shows whether it took effect and the server's term, so the instruction is repeated with a higher term, three times at most. Each survey ends after a second. A survey now reports the whole status (role, term, position, suspended term), which the failover needs next.

--- a/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
+++ b/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
@@ -8,6 +8,7 @@
 import org.ragwortmoor.coordination.directory.FailoverAction;
 import org.ragwortmoor.coordination.directory.FailoverCoordinator;
 import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
+import org.ragwortmoor.coordination.directory.ServerStatus;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.protocol.wire.PrimaryObservationMessage;
 import org.ragwortmoor.state.directory.DirectoryCommand;
@@ -110,15 +111,18 @@
     private void execute(FailoverAction action) {
         if (action instanceof FailoverAction.Survey survey) {
             ServerRecord record = survey.server();
-            ServerSurvey.start(
-                    statements,
-                    record,
-                    survey.suspend(),
-                    position -> failover.recordPosition(record.group(), record.id(), position));
+            if (survey.suspend()) {
+                ServerSurvey.suspend(
+                        statements, loop, record, 0, status -> recordStatus(record, status));
+            } else {
+                ServerSurvey.start(
+                        statements, loop, record, status -> recordStatus(record, status));
+            }
         } else if (action instanceof FailoverAction.StepDown step) {
             ServerRecord record = step.server();
             ServerSurvey.stepDown(
                     statements,
+                    loop,
                     record,
                     position -> failover.recordStepDown(record.group(), record.id(), position));
         } else if (action instanceof FailoverAction.OrderPromotion order) {
@@ -141,10 +145,14 @@
                     leases.holders(withheld.group(), System.nanoTime()));
             host.announceWithheldLeases();
         } else if (action instanceof FailoverAction.ResumeReplication resume) {
-            ServerSurvey.resume(statements, resume.server());
+            ServerSurvey.resume(statements, loop, resume.server(), status -> {});
         }
     }
 
+    private void recordStatus(ServerRecord server, ServerStatus status) {
+        failover.recordStatus(server, status);
+    }
+
     private void callPlatform(FailoverAction.CallPromotion call) {
         BooleanSupplier stillLeads = host.leadership();
         if (!stillLeads.getAsBoolean()) {
--- a/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ServerSurvey.java
@@ -1,8 +1,12 @@
 package org.ragwortmoor.directory;
 
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Option;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.ragwortmoor.coordination.directory.ServerStatus;
 import org.ragwortmoor.coordination.session.SessionHost;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.ServerRecord;
@@ -14,70 +18,171 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Queries a server for its received log position, on a dedicated connection. The position is
- * queried again after replication to a replica is suspended, because the replica may have received
- * more entries in between.
+ * Sends one instruction to a server, on a connection of its own, and receives the server's status.
+ * Confined to the event loop.
  */
 final class ServerSurvey implements SessionHost.ServerLinkListener {
-    /** Index of the role in the row that answers STATUS and STEPDOWN. */
-    private static final int ROLE_FIELD = 0;
+    /** Time after which a survey without a result is ended. */
+    private static final long TIMEOUT_MILLIS = 1_000;
 
-    /** Index of the received position in that row. */
-    private static final int RECEIVED_FIELD = 2;
+    /** Number of times that an instruction is sent until it takes effect. */
+    private static final int MAX_ATTEMPTS = 3;
 
-    private static final String REPLICA_ROLE = "replica";
-
-    /** Makes a primary step down if its term is lower than the term that follows. */
-    private static final String STEP_DOWN = "STEPDOWN ";
+    private static final String BUSY = "BUSY";
 
     private static final Logger LOG = LoggerFactory.getLogger(ServerSurvey.class);
 
     private final ServerRecord server;
-    private final String firstStatement;
-    private final boolean suspend;
-    private final Consumer<Position> onPosition;
+    private final Instruction instruction;
+    private final Consumer<ServerStatus> onStatus;
     private SessionHost.ServerLink link;
-    private Option<Position> received = Option.none();
-    private String role = "";
+    private ScheduledFuture<?> timeout;
+    private Option<ServerStatus> status = Option.none();
+    private String lastError = "";
+    private long knownTerm;
+    private int attempts;
     private boolean connected;
-    private boolean suspended;
     private boolean finished;
 
+    /** What a survey tells the server to do. */
+    private interface Instruction {
+        /** Returns the statement for a server whose term is at least {@code term}. */
+        String statement(long term);
+
+        /** Returns whether the instruction has taken effect. */
+        boolean effective(ServerStatus status);
+
+        /** Returns whether a server without a status is reported with its applied position. */
+        default boolean acceptsAppliedPosition() {
+            return false;
+        }
+    }
+
+    /** Only asks for the status. */
+    private record Inspection() implements Instruction {
+        @Override
+        public String statement(long term) {
+            return "STATUS";
+        }
+
+        @Override
+        public boolean effective(ServerStatus status) {
+            return true;
+        }
+
+        @Override
+        public boolean acceptsAppliedPosition() {
+            return true;
+        }
+    }
+
+    /** Stops the replication to a replica. */
+    private record Suspension(long aboveTerm) implements Instruction {
+        @Override
+        public String statement(long term) {
+            return "SUSPEND " + (Math.max(aboveTerm, term) + 1);
+        }
+
+        @Override
+        public boolean effective(ServerStatus status) {
+            // A primary cannot be suspended; its status says so.
+            return status.primary() || status.suspended();
+        }
+    }
+
+    /** Makes a primary a replica; it takes effect only with a term above that of the primary. */
+    private record StepDown() implements Instruction {
+        @Override
+        public String statement(long term) {
+            return "STEPDOWN " + (term + 1);
+        }
+
+        @Override
+        public boolean effective(ServerStatus status) {
+            return !status.primary();
+        }
+    }
+
+    /** Resumes the replication to a replica. */
+    private record Resumption() implements Instruction {
+        @Override
+        public String statement(long term) {
+            return "RESUME";
+        }
+
+        @Override
+        public boolean effective(ServerStatus status) {
+            return !status.suspended();
+        }
+    }
+
     private ServerSurvey(
-            ServerRecord server,
-            String firstStatement,
-            boolean suspend,
-            Consumer<Position> onPosition) {
+            ServerRecord server, Instruction instruction, Consumer<ServerStatus> onStatus) {
         this.server = server;
-        this.firstStatement = firstStatement;
-        this.suspend = suspend;
-        this.onPosition = onPosition;
+        this.instruction = instruction;
+        this.onStatus = onStatus;
     }
 
-    /** Starts a survey; {@code onPosition} is not called if the server returns no position. */
+    /**
+     * Asks for the status of a server. {@code onStatus} is not called without an answer. A server
+     * without a free slot is reported as a replica with the position that it has applied, which is
+     * a lower bound of the received one.
+     */
     static void start(
             StatementClient client,
+            EventLoop loop,
             ServerRecord server,
-            boolean suspend,
-            Consumer<Position> onPosition) {
-        ServerSurvey survey = new ServerSurvey(server, "STATUS", suspend, onPosition);
-        survey.link = client.connect(server.address(), survey);
+            Consumer<ServerStatus> onStatus) {
+        connect(client, loop, new ServerSurvey(server, new Inspection(), onStatus));
     }
 
     /**
-     * Makes a primary step down; {@code onPosition} receives its last position once the server has
+     * Suspends the replication to a replica; {@code onStatus} receives its status afterwards, since
+     * it may have received more entries before.
+     *
+     * @param aboveTerm highest term that is known of the group
+     */
+    static void suspend(
+            StatementClient client,
+            EventLoop loop,
+            ServerRecord server,
+            long aboveTerm,
+            Consumer<ServerStatus> onStatus) {
+        connect(client, loop, new ServerSurvey(server, new Suspension(aboveTerm), onStatus));
+    }
+
+    /**
+     * Makes a primary step down; {@code onStepDown} receives its last position once the server has
      * confirmed that it is a replica.
      */
     static void stepDown(
-            StatementClient client, ServerRecord server, Consumer<Position> onPosition) {
-        ServerSurvey survey = new ServerSurvey(server, STEP_DOWN, false, onPosition);
-        survey.link = client.connect(server.address(), survey);
+            StatementClient client,
+            EventLoop loop,
+            ServerRecord server,
+            Consumer<Position> onStepDown) {
+        connect(
+                client,
+                loop,
+                new ServerSurvey(
+                        server, new StepDown(), status -> onStepDown.accept(status.received())));
     }
 
-    /** Resumes replication to a suspended replica. */
-    static void resume(StatementClient client, ServerRecord server) {
-        ServerSurvey survey = new ServerSurvey(server, "RESUME", false, position -> {});
-        survey.link = client.connect(server.address(), survey);
+    /** Resumes the replication to a replica; {@code onStatus} receives its status afterwards. */
+    static void resume(
+            StatementClient client,
+            EventLoop loop,
+            ServerRecord server,
+            Consumer<ServerStatus> onStatus) {
+        connect(client, loop, new ServerSurvey(server, new Resumption(), onStatus));
+    }
+
+    private static void connect(StatementClient client, EventLoop loop, ServerSurvey survey) {
+        survey.timeout =
+                loop.schedule(
+                        () -> survey.fail("no answer within " + TIMEOUT_MILLIS + " ms"),
+                        TIMEOUT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+        survey.link = client.connect(survey.server.address(), survey);
     }
 
     @Override
@@ -90,23 +195,16 @@
 
     @Override
     public void received(StatementMessage message) {
+        if (finished) {
+            return;
+        }
         switch (message.kind()) {
-            case ROW -> {
-                String[] fields = message.field(0).split(" ");
-                if (fields.length > RECEIVED_FIELD) {
-                    received = PositionField.parse(fields[RECEIVED_FIELD]);
-                    role = fields[ROLE_FIELD];
-                }
-            }
+            case ROW -> row(message.field(0));
             case READY -> ready(message);
             case ERROR -> {
-                LOG.info(
-                        "event=survey_refused server={} code={} text=\"{}\"",
-                        server.id(),
-                        message.field(0),
-                        message.field(1));
+                lastError = message.field(0);
                 if (!connected) {
-                    finish();
+                    fail("refused with " + lastError + " " + message.field(1));
                 }
             }
             default -> {
@@ -115,48 +213,73 @@
         }
     }
 
+    private void row(String text) {
+        Option<ServerStatus> read = StatusRow.parse(text);
+        if (read.isEmpty()) {
+            LOG.warn("event=status_unreadable server={} row=\"{}\"", server.id(), text);
+        } else {
+            status = read;
+            knownTerm = Math.max(knownTerm, read.get().term());
+        }
+    }
+
     private void ready(StatementMessage message) {
+        Option<Position> applied = PositionField.parse(message.field(1));
+        knownTerm = Math.max(knownTerm, applied.map(Position::term).getOrElse(0L));
         if (!connected) {
             connected = true;
-            long nextTerm =
-                    PositionField.parse(message.field(1)).map(Position::term).getOrElse(0L) + 1;
-            sendQuery(firstStatement.equals(STEP_DOWN) ? STEP_DOWN + nextTerm : firstStatement);
-            return;
-        }
-        if (suspend && !suspended && received.isDefined()) {
-            suspended = true;
-            sendQuery("SUSPEND " + (received.get().term() + 1));
-            return;
+            instruct();
+        } else if (status.exists(instruction::effective)) {
+            report(status.get());
+        } else if (attempts < MAX_ATTEMPTS && (status.isDefined() || lastError.equals(BUSY))) {
+            instruct();
+        } else if (instruction.acceptsAppliedPosition() && applied.isDefined()) {
+            report(new ServerStatus(false, applied.get().term(), applied.get(), 0));
+        } else {
+            fail("no effect: " + status.map(ServerStatus::toString).getOrElse(lastError));
         }
-        if (firstStatement.equals(STEP_DOWN) && !role.equals(REPLICA_ROLE)) {
-            LOG.info("event=step_down_unconfirmed server={} role=\"{}\"", server.id(), role);
-            finish();
+    }
+
+    private void instruct() {
+        attempts++;
+        status = Option.none();
+        String statement = instruction.statement(knownTerm);
+        link.send(List.of(StatementMessage.of(MessageKind.QUERY, "-", statement)));
+    }
+
+    private void report(ServerStatus known) {
+        LOG.info(
+                "event=surveyed server={} instruction={} role={} term={} position={}"
+                        + " suspended_term={}",
+                server.id(),
+                instruction,
+                known.primary() ? "primary" : "replica",
+                known.term(),
+                known.received(),
+                known.suspendedTerm());
+        finish();
+        link.close();
+        onStatus.accept(known);
+    }
+
+    private void fail(String reason) {
+        if (finished) {
             return;
         }
-        // A server without a free slot returns no status; its applied position is a lower bound.
-        Option<Position> known =
-                received.orElse(suspend ? Option.none() : PositionField.parse(message.field(1)));
-        LOG.info("event=surveyed server={} position={}", server.id(), known.getOrNull());
-        known.forEach(onPosition);
+        LOG.info("event=survey_failed server={} reason=\"{}\"", server.id(), reason);
         finish();
+        if (link != null) {
+            link.close();
+        }
     }
 
-    private void sendQuery(String text) {
-        link.send(List.of(StatementMessage.of(MessageKind.QUERY, "-", text)));
+    private void finish() {
+        finished = true;
+        timeout.cancel(false);
     }
 
     @Override
     public void closed(String reason) {
-        if (!finished) {
-            LOG.info("event=survey_failed server={} reason=\"{}\"", server.id(), reason);
-            finished = true;
-        }
-    }
-
-    private void finish() {
-        if (!finished) {
-            finished = true;
-            link.close();
-        }
+        fail(reason);
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.routes.GroupLimits;
 
 /**
@@ -52,9 +53,9 @@
         group(group).failureDetector().recordReport(proxy, server, silentNanos, refused, now);
     }
 
-    /** Records the log position of a surveyed replica. */
-    public void recordPosition(String group, String server, Position position) {
-        group(group).recordPosition(server, position);
+    /** Records the status of a surveyed server. */
+    public void recordStatus(ServerRecord server, ServerStatus status) {
+        group(server.group()).recordStatus(server, status);
     }
 
     /** Records the last log position of a primary that has stepped down. */
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -210,10 +210,10 @@
                 .toList();
     }
 
-    /** Records the position of a replica; ignored unless the current survey asked for it. */
-    void recordPosition(String server, Position position) {
+    /** Records the status of a replica; ignored unless the current survey asked for it. */
+    void recordStatus(ServerRecord server, ServerStatus status) {
         if (phase == Phase.SURVEYING) {
-            survey.record(server, position);
+            survey.record(server.id(), status.received());
         }
     }
 
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -63,6 +63,12 @@
         }
     }
 
+    private void recordPosition(String server, Position position) {
+        failover.recordStatus(
+                state.servers().get(server).get(),
+                new ServerStatus(false, position.term(), position, 0));
+    }
+
     private List<FailoverAction> tick(long millis) {
         now += millis * MILLI;
         return failover.tick(state, now);
@@ -86,8 +92,8 @@
         setUp(0);
         report(4, 650, false);
         assertThat(ofType(tick(1), FailoverAction.Survey.class)).hasSize(2);
-        failover.recordPosition("g", "s2", new Position(1, 90));
-        failover.recordPosition("g", "s3", new Position(1, 95));
+        recordPosition("s2", new Position(1, 90));
+        recordPosition("s3", new Position(1, 95));
         assertThat(orderAfterSurvey().server()).isEqualTo("s3");
     }
 
@@ -126,8 +132,8 @@
         report(PROXIES, 650, false);
         assertThat(ofType(tick(1), FailoverAction.Survey.class)).hasSize(2);
         report(0, 0, false);
-        failover.recordPosition("g", "s2", new Position(1, 90));
-        failover.recordPosition("g", "s3", new Position(1, 95));
+        recordPosition("s2", new Position(1, 90));
+        recordPosition("s3", new Position(1, 95));
         for (int i = 0; i < 50; i++) {
             assertThat(ofType(tick(20), FailoverAction.OrderPromotion.class)).isEmpty();
             report(0, 0, false);
@@ -141,8 +147,8 @@
         tick(1);
         report(0, 0, false);
         failover.recordStepDown("g", "s1", new Position(1, 95));
-        failover.recordPosition("g", "s2", new Position(1, 90));
-        failover.recordPosition("g", "s3", new Position(1, 95));
+        recordPosition("s2", new Position(1, 90));
+        recordPosition("s3", new Position(1, 95));
         assertThat(orderAfterSurvey().server()).isEqualTo("s3");
     }
 
@@ -159,7 +165,7 @@
         setUp(0);
         report(PROXIES, 650, false);
         tick(1);
-        failover.recordPosition("g", "s2", new Position(1, 90));
+        recordPosition("s2", new Position(1, 90));
         assertThat(tick(100)).isEmpty();
         assertThat(ofType(tick(300), FailoverAction.OrderPromotion.class).get(0).server())
                 .isEqualTo("s2");
@@ -171,7 +177,7 @@
         report(PROXIES, 650, false);
         List<FailoverAction.Survey> surveys = ofType(tick(1), FailoverAction.Survey.class);
         assertThat(surveys).allMatch(FailoverAction.Survey::suspend);
-        failover.recordPosition("g", "s2", new Position(1, 90));
+        recordPosition("s2", new Position(1, 90));
         List<FailoverAction> after = tick(400);
         assertThat(ofType(after, FailoverAction.OrderPromotion.class)).isEmpty();
         assertThat(ofType(after, FailoverAction.ResumeReplication.class)).hasSize(2);
@@ -183,13 +189,13 @@
         putServer("s1", ServerState.DRAINING, true);
         List<FailoverAction> initial = tick(1);
         assertThat(ofType(initial, FailoverAction.StepDown.class)).hasSize(1);
-        failover.recordPosition("g", "s2", new Position(1, 99));
-        failover.recordPosition("g", "s3", new Position(1, 98));
+        recordPosition("s2", new Position(1, 99));
+        recordPosition("s3", new Position(1, 98));
         failover.recordStepDown("g", "s1", new Position(1, 100));
         List<FailoverAction> next = tick(50);
         assertThat(ofType(next, FailoverAction.OrderPromotion.class)).isEmpty();
         assertThat(ofType(next, FailoverAction.Survey.class)).hasSize(2);
-        failover.recordPosition("g", "s3", new Position(1, 100));
+        recordPosition("s3", new Position(1, 100));
         assertThat(orderAfterSurvey().server()).isEqualTo("s3");
     }
 
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/LeasedFailoverTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/LeasedFailoverTest.java
@@ -90,6 +90,12 @@
         }
     }
 
+    private void recordPosition(String server, Position position) {
+        failover.recordStatus(
+                state.servers().get(server).get(),
+                new ServerStatus(false, position.term(), position, 0));
+    }
+
     private List<FailoverAction> tick(long millis) {
         now += millis * MILLI;
         return failover.tick(state, now);
@@ -106,16 +112,16 @@
         observe(true);
         List<FailoverAction> first = tick(1);
         assertThat(ofType(first, FailoverAction.AnnounceWithheldLeases.class)).hasSize(1);
-        failover.recordPosition("g", "s2", new Position(1, 90));
-        failover.recordPosition("g", "s3", new Position(1, 95));
+        recordPosition("s2", new Position(1, 90));
+        recordPosition("s3", new Position(1, 95));
     }
 
     /** Advances until a promotion is ordered; returns the milliseconds until then. */
     private long millisUntilOrder(int limitMillis) {
         for (int waited = 10; waited <= limitMillis; waited += 10) {
             List<FailoverAction> actions = tick(10);
-            failover.recordPosition("g", "s2", new Position(1, 90));
-            failover.recordPosition("g", "s3", new Position(1, 95));
+            recordPosition("s2", new Position(1, 90));
+            recordPosition("s3", new Position(1, 95));
             if (!ofType(actions, FailoverAction.OrderPromotion.class).isEmpty()) {
                 return waited;
             }
@@ -222,11 +228,11 @@
         failover.recordCallOutcome("g", 42, CallOutcome.REJECTED, now);
         apply(new DirectoryCommand.OrderPromotion("g", "s3", "me"));
         tick(300);
-        failover.recordPosition("g", "s2", new Position(1, 90));
+        recordPosition("s2", new Position(1, 90));
         failover.recordStepDown("g", "s3", new Position(1, 90));
         long waited = 0;
         while (waited < 20_000 && ofType(tick(10), FailoverAction.OrderPromotion.class).isEmpty()) {
-            failover.recordPosition("g", "s2", new Position(1, 90));
+            recordPosition("s2", new Position(1, 90));
             waited += 10;
         }
         assertThat(waited).isBetween(11_000L, 12_000L);
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/PromotionTokenTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/PromotionTokenTest.java
@@ -146,16 +146,19 @@
         private void perform(int process, List<FailoverAction> actions) {
             for (FailoverAction action : actions) {
                 if (action instanceof FailoverAction.Survey survey) {
-                    String server = survey.server().id();
+                    ServerRecord server = survey.server();
                     after(
                             random.nextInt(5, 60),
                             () ->
                                     coordinators
                                             .get(process)
-                                            .recordPosition(
-                                                    "g",
+                                            .recordStatus(
                                                     server,
-                                                    new Position(1, random.nextInt(100))));
+                                                    new ServerStatus(
+                                                            false,
+                                                            1,
+                                                            new Position(1, random.nextInt(100)),
+                                                            0)));
                 } else if (action instanceof FailoverAction.OrderPromotion ordered) {
                     after(random.nextInt(5, 40), () -> commit(process, ordered));
                 } else if (action instanceof FailoverAction.CallPromotion call) {
