--- a/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
+++ b/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
@@ -26,6 +26,10 @@
 final class PromotionExecutor {
     private static final Logger LOG = LoggerFactory.getLogger(PromotionExecutor.class);
 
+    private static final String BLOCKED_REMEDY =
+            "start one of the servers that do not answer; or set the number of synchronous replicas"
+                    + " to 0, which accepts that their commits are lost";
+
     private final FailoverCoordinator failover;
     private final PrimaryLeaseTable leases;
     private final String self;
@@ -111,11 +115,10 @@
     private void execute(FailoverAction action) {
         if (action instanceof FailoverAction.Survey survey) {
             ServerRecord record = survey.server();
-            if (survey.suspend()) {
-                surveys.suspend(record, 0, status -> recordStatus(record, status));
-            } else {
-                surveys.start(record, status -> recordStatus(record, status));
-            }
+            surveys.start(record, status -> recordStatus(record, status));
+        } else if (action instanceof FailoverAction.SuspendReplication suspension) {
+            ServerRecord record = suspension.server();
+            surveys.suspend(record, suspension.aboveTerm(), status -> recordStatus(record, status));
         } else if (action instanceof FailoverAction.StepDown step) {
             ServerRecord record = step.server();
             surveys.stepDown(
@@ -141,12 +144,40 @@
                     leases.holders(withheld.group(), System.nanoTime()));
             host.announceWithheldLeases();
         } else if (action instanceof FailoverAction.ResumeReplication resume) {
-            surveys.resume(resume.server(), status -> {});
+            surveys.resume(resume.server(), status -> recordStatus(resume.server(), status));
+        } else {
+            recordOrReport(action);
+        }
+    }
+
+    private void recordOrReport(FailoverAction action) {
+        if (action instanceof FailoverAction.RecordSuspension suspension) {
+            LOG.info(
+                    "event=replication_{} group={}",
+                    suspension.suspended() ? "suspending" : "resumed",
+                    suspension.group());
+            host.propose(
+                    new DirectoryCommand.RecordSuspension(
+                            suspension.group(), suspension.suspended()));
+        } else if (action instanceof FailoverAction.ConfirmReplication confirmation) {
+            LOG.info(
+                    "event=departures_confirmed group={} index={}",
+                    confirmation.group(),
+                    confirmation.index());
+            host.propose(
+                    new DirectoryCommand.ConfirmReplication(
+                            confirmation.group(), confirmation.index()));
+        } else if (action instanceof FailoverAction.ReportBlocked blocked) {
+            LOG.warn(
+                    "event=promotion_blocked group={} reason=\"{}\" remedy=\"{}\"",
+                    blocked.group(),
+                    blocked.reason(),
+                    BLOCKED_REMEDY);
         }
     }
 
     private void recordStatus(ServerRecord server, ServerStatus status) {
-        failover.recordStatus(server, status);
+        failover.recordStatus(server, status, System.nanoTime());
     }
 
     private void callPlatform(FailoverAction.CallPromotion call) {
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
@@ -4,8 +4,15 @@
 
 /** An action requested by {@link FailoverCoordinator}, to be executed by its host. */
 public sealed interface FailoverAction {
-    /** Queries the log position of a replica; {@code suspend} also stops its replication. */
-    record Survey(ServerRecord server, boolean suspend) implements FailoverAction {}
+    /** Asks a server for its status. */
+    record Survey(ServerRecord server) implements FailoverAction {}
+
+    /**
+     * Suspends the replication to a replica, and asks for its status afterwards.
+     *
+     * @param aboveTerm a term that is not below any term of the group
+     */
+    record SuspendReplication(ServerRecord server, long aboveTerm) implements FailoverAction {}
 
     /** Asks a primary to step down and to return its last log position. */
     record StepDown(ServerRecord server) implements FailoverAction {}
@@ -22,6 +29,18 @@
     /** Tells all proxies at once that leases on the group's primary are withheld. */
     record AnnounceWithheldLeases(String group) implements FailoverAction {}
 
-    /** Resumes the replication of a replica that a survey suspended. */
+    /** Resumes the replication to a replica, and asks for its status afterwards. */
     record ResumeReplication(ServerRecord server) implements FailoverAction {}
+
+    /** Records in the replicated log whether replicas of a group may be suspended. */
+    record RecordSuspension(String group, boolean suspended) implements FailoverAction {}
+
+    /**
+     * Records in the replicated log that the servers of a group hold the commits of those whose end
+     * was recorded at the log index or before.
+     */
+    record ConfirmReplication(String group, long index) implements FailoverAction {}
+
+    /** Reports that no server can be promoted without the risk of losing acknowledged commits. */
+    record ReportBlocked(String group, String reason) implements FailoverAction {}
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
@@ -54,7 +54,7 @@
     }
 
     /** Records the status of a surveyed server. */
-    public void recordStatus(ServerRecord server, ServerStatus status) {
+    public void recordStatus(ServerRecord server, ServerStatus status, long now) {
         group(server.group()).recordStatus(server, status);
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
@@ -43,6 +43,39 @@
     /** Interval between two surveys while leases on the replaced primary are outstanding. */
     static final long SURVEY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /** Maximum time between the start of a survey of a server and its answer. */
+    static final long MAX_SURVEY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    /** Maximum time to wait for a change of the directory to be committed. */
+    static final long RECORD_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    /** First interval between two instructions to suspend or resume the same replica. */
+    static final long SUSPENSION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /**
+     * Number of promotions that the servers which answer may have missed. A suspension is above as
+     * many further terms, because one that is not above the term of the primary has no effect.
+     */
+    static final long MISSED_PROMOTIONS = 100;
+
+    /** Interval between two reports that no server can be promoted. */
+    static final long BLOCKED_REPORT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** Maximum interval between two instructions to a server that does not follow them. */
+    static final long MAX_INSTRUCTION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
+    /** Interval between two checks whether the commits of servers that have ended are held. */
+    static final long DEPARTURE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Pause after a survey in which too few servers have answered for a promotion. */
+    static final long BLOCKED_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    /**
+     * Time after an election before a failover of the predecessor is continued; proxies that reach
+     * a primary have reported by then.
+     */
+    static final long INHERITED_FAILOVER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
     /** Time after which an unanswered call is repeated with the same fencing token. */
     static final long CALL_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverView.java
@@ -0,0 +1,47 @@
+package org.ragwortmoor.coordination.directory;
+
+import io.vavr.control.Option;
+import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.GroupReplication;
+import org.ragwortmoor.state.directory.Promotion;
+
+/**
+ * What a failover decides on at one moment.
+ *
+ * @param group name of the group
+ * @param state the replicated directory
+ * @param members the servers of the group with their standing
+ * @param syncReplicas number of replicas that must receive a commit before it is acknowledged
+ * @param observers number of proxies that use the primary
+ * @param leases leases of the proxies on the primaries
+ * @param failureDetector reports of the proxies on the primary
+ */
+record FailoverView(
+        String group,
+        DirectoryState state,
+        GroupMembers members,
+        int syncReplicas,
+        int observers,
+        PrimaryLeaseTable leases,
+        PrimaryFailureDetector failureDetector) {
+    /** Returns the newest order if it is not known whether the platform has carried it out. */
+    Option<Promotion> unconfirmedOrder() {
+        return state.promotions().get(group).filter(p -> !p.confirmed());
+    }
+
+    GroupReplication replication() {
+        return state.replication(group);
+    }
+
+    boolean majorityReachesLeader(long now) {
+        return failureDetector.majorityReachesLeader(observers, now);
+    }
+
+    /**
+     * Returns whether only the server of an unanswered call may be promoted. A delayed call would
+     * otherwise replace the server promoted since, and lose what that one has acknowledged.
+     */
+    boolean exclusiveCalls() {
+        return leases.required();
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -9,19 +9,20 @@
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.FleetSize;
+import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
 import org.ragwortmoor.state.routes.GroupLimits;
 
 /**
- * Failover of one group: surveys the log positions of the replicas, waits until no proxy may use
- * the replaced primary any more, orders the promotion of the most advanced replica, and calls the
- * platform until the promotion is accepted, rejected or given up.
+ * Failover of one group: decides when a server has to be promoted, orders the promotion of the
+ * server that a {@link FailoverAttempt} has found, and calls the platform until the promotion is
+ * accepted, rejected or given up.
  */
 final class GroupFailover {
     private enum Phase {
         WATCHING,
-        SURVEYING,
+        ATTEMPTING,
         ORDERING,
         CALLING,
         SETTLING
@@ -30,24 +31,22 @@
     private final String group;
     private final PrimaryLeaseTable leases;
     private final PrimaryFailureDetector failureDetector = new PrimaryFailureDetector();
-    private final ReplicaSurvey survey = new ReplicaSurvey();
+    private final PromotionTrigger trigger = new PromotionTrigger();
     private final PromotionCall call = new PromotionCall();
     private final Set<String> rejectedServers = new HashSet<>();
     private Phase phase = Phase.WATCHING;
     private long phaseDeadline;
     private String reason = "";
-    private Option<ServerRecord> replacedPrimary = Option.none();
-    private Option<Position> steppedDownAt = Option.none();
-    private boolean replicationSuspended;
-    private boolean plannedHandover;
-    private long nextSurveyAt;
-    private long nextStepDownAt;
-    private int observers;
-    private Option<Long> noPrimarySince = Option.none();
+    private ReplacedPrimary replaced = new ReplacedPrimary(Option.none(), 0);
+    private FailoverAttempt attempt = new AsynchronousAttempt(replaced, 0);
+    private int attemptedSyncReplicas;
+    private long nextReportAt;
+    private FailoverView view;
 
     GroupFailover(String group, PrimaryLeaseTable leases) {
         this.group = group;
         this.leases = leases;
+        this.view = view(DirectoryState.EMPTY, 0, 0);
     }
 
     PrimaryFailureDetector failureDetector() {
@@ -57,10 +56,10 @@
     /** Discards the state of an earlier leadership. */
     void reset(long now) {
         failureDetector.clear();
+        trigger.reset();
         rejectedServers.clear();
-        replicationSuspended = false;
-        noPrimarySince = Option.none();
         call.reset();
+        nextReportAt = now;
         phase = Phase.WATCHING;
         // Without fencing by the platform, an earlier leader's call must not arrive after ours.
         phaseDeadline = leases.required() ? now + FailoverSettings.PREDECESSOR_CALL_NANOS : now;
@@ -69,32 +68,42 @@
     /** Advances the failover and returns the actions that are due. */
     List<FailoverAction> tick(DirectoryState state, GroupLimits limits, long now) {
         FleetSize fleet = state.fleet();
-        observers =
+        int observers =
                 ConnectionPlan.of(limits.maxConnections(), fleet.proxies(), fleet.domains())
                         .observers(fleet.proxies(), fleet.domains());
-        int syncReplicas = limits.syncReplicas();
+        view = view(state, limits.syncReplicas(), observers);
+        return advance(now);
+    }
+
+    private FailoverView view(DirectoryState state, int syncReplicas, int observers) {
+        return new FailoverView(
+                group,
+                state,
+                GroupMembers.of(state, group, replaced.server(), rejectedServers),
+                syncReplicas,
+                observers,
+                leases,
+                failureDetector);
+    }
+
+    private List<FailoverAction> advance(long now) {
         return switch (phase) {
-            case WATCHING -> watch(state, syncReplicas, now);
-            case SURVEYING -> survey(state, syncReplicas, now);
+            case WATCHING -> watch(now);
+            case ATTEMPTING -> advanceAttempt(now);
             case ORDERING -> {
                 if (now - phaseDeadline >= 0) {
                     phase = Phase.WATCHING;
                 }
                 yield List.of();
             }
-            case CALLING -> retryCall(state, now);
-            case SETTLING -> {
-                if (now - phaseDeadline >= 0) {
-                    phase = Phase.WATCHING;
-                    rejectedServers.clear();
-                }
-                yield List.of();
-            }
+            case CALLING -> retryCall(now);
+            case SETTLING -> settle(now);
         };
     }
 
-    private List<FailoverAction> watch(DirectoryState state, int syncReplicas, long now) {
-        if (unconfirmed(state)) {
+    private List<FailoverAction> watch(long now) {
+        boolean leaseUnconfirmed = leases.required() && view.unconfirmedOrder().isDefined();
+        if (leaseUnconfirmed) {
             leases.withhold(group);
         } else {
             leases.resume(group);
@@ -102,204 +111,115 @@
         if (now - phaseDeadline < 0) {
             return List.of();
         }
-        Option<ServerRecord> primary = state.primary(group);
-        if (unconfirmed(state) && mayPromoteAgain(primary, state, now)) {
+        Option<ServerRecord> primary = view.state().primary(group);
+        if (leaseUnconfirmed && mayPromoteAgain(primary, now)) {
             // An earlier leader may have ended before its call; only the call shows the outcome.
             reason = "the promotion is not confirmed";
             return order(primary.get().id(), now);
         }
-        List<ServerRecord> replicas = promotableReplicas(state, primary);
-        if (replicas.isEmpty()) {
-            // No candidate is left; a server that was rejected may have recovered since.
+        replaced = new ReplacedPrimary(primary, now);
+        view = view(view.state(), view.syncReplicas(), view.observers());
+        boolean hasCandidate = view.members().hasCandidate();
+        if (!hasCandidate) {
+            // A server that was rejected may have recovered since.
             rejectedServers.clear();
+        }
+        reason = trigger.reason(view, rejectedServers, now);
+        if (reason.isEmpty()) {
             return List.of();
         }
-        reason = reasonToPromote(state, primary, now);
-        return reason.isEmpty() ? List.of() : startSurvey(primary, replicas, syncReplicas, now);
+        return hasCandidate ? startAttempt(now) : List.of();
+    }
+
+    private boolean mayPromoteAgain(Option<ServerRecord> primary, long now) {
+        return primary.exists(
+                        p -> p.state() == ServerState.READY && !rejectedServers.contains(p.id()))
+                && failureDetector.failureReason(view.observers(), now).isEmpty();
     }
 
-    private List<FailoverAction> startSurvey(
-            Option<ServerRecord> primary, List<ServerRecord> replicas, int syncReplicas, long now) {
+    private List<FailoverAction> startAttempt(long now) {
         leases.withhold(group);
-        replacedPrimary = primary;
-        plannedHandover = primary.exists(p -> p.state() == ServerState.DRAINING);
-        steppedDownAt = Option.none();
-        survey.start(replicas);
-        phase = Phase.SURVEYING;
-        phaseDeadline =
-                now
-                        + (plannedHandover
-                                ? FailoverSettings.HANDOVER_TIMEOUT_NANOS
-                                : FailoverSettings.SURVEY_TIMEOUT_NANOS);
-        replicationSuspended = syncReplicas > 0;
+        phase = Phase.ATTEMPTING;
+        attemptedSyncReplicas = view.syncReplicas();
+        attempt =
+                attemptedSyncReplicas > 0
+                        ? new SynchronousAttempt(replaced, now)
+                        : new AsynchronousAttempt(replaced, now);
         List<FailoverAction> actions = new ArrayList<>();
-        if (leases.required() && !plannedHandover) {
+        if (leases.required() && !replaced.leaves()) {
             actions.add(new FailoverAction.AnnounceWithheldLeases(group));
         }
-        nextStepDownAt = now + FailoverSettings.SURVEY_INTERVAL_NANOS;
-        // A primary that is still reachable for some proxies must not acknowledge commits that its
-        // successor lacks.
-        primary.forEach(p -> actions.add(new FailoverAction.StepDown(p)));
-        actions.addAll(surveyActions(replicas, now));
+        actions.addAll(advanceAttempt(now));
         return actions;
     }
 
-    private List<FailoverAction> surveyActions(List<ServerRecord> replicas, long now) {
-        nextSurveyAt =
-                now
-                        + (plannedHandover
-                                ? FailoverSettings.HANDOVER_SURVEY_INTERVAL_NANOS
-                                : FailoverSettings.SURVEY_INTERVAL_NANOS);
-        return replicas.stream()
-                .map(r -> (FailoverAction) new FailoverAction.Survey(r, replicationSuspended))
-                .toList();
-    }
-
-    /** Records the last position of the primary that is being replaced and has stepped down. */
-    void recordStepDown(String server, Position position) {
-        if (phase == Phase.SURVEYING && replacedPrimary.exists(p -> p.id().equals(server))) {
-            steppedDownAt = Option.some(position);
+    private List<FailoverAction> advanceAttempt(long now) {
+        if (view.syncReplicas() != attemptedSyncReplicas) {
+            return endAttempt(FailoverSettings.CALL_BACKOFF_NANOS, now);
         }
-    }
-
-    private boolean unconfirmed(DirectoryState state) {
-        return leases.required() && state.promotions().get(group).exists(p -> !p.confirmed());
-    }
-
-    private boolean mayPromoteAgain(Option<ServerRecord> primary, DirectoryState state, long now) {
-        return primary.exists(
-                        p -> p.state() == ServerState.READY && !rejectedServers.contains(p.id()))
-                && failureDetector.failureReason(observers, now).isEmpty();
-    }
-
-    private String reasonToPromote(DirectoryState state, Option<ServerRecord> primary, long now) {
-        if (primary.isEmpty()) {
-            boolean ended = state.promotions().containsKey(group);
-            return ended || noPrimaryTimedOut(state, now) ? "the group has no primary" : "";
+        FailoverAttempt.Result result = attempt.tick(view, now);
+        if (result instanceof FailoverAttempt.Result.Pending pending) {
+            return pending.actions();
         }
-        noPrimarySince = Option.none();
-        if (primary.get().state() == ServerState.DRAINING) {
-            return "primary " + primary.get().id() + " is draining";
+        if (result instanceof FailoverAttempt.Result.Promote promotion) {
+            return promote(promotion, now);
         }
-        if (unconfirmed(state) && rejectedServers.contains(primary.get().id())) {
-            return "the promotion of " + primary.get().id() + " was rejected";
+        if (result instanceof FailoverAttempt.Result.Leads leader) {
+            return adopt(leader.server(), now);
         }
-        return failureDetector.failureReason(observers, now);
-    }
-
-    /**
-     * Returns whether the group has had no primary for too long. The timeout is needed at startup,
-     * when replicas may announce themselves before the primary does.
-     */
-    private boolean noPrimaryTimedOut(DirectoryState state, long now) {
-        if (state.members(group).size() < 2) {
-            return false;
-        }
-        if (noPrimarySince.isEmpty()) {
-            noPrimarySince = Option.some(now);
+        if (result instanceof FailoverAttempt.Result.Blocked blocked) {
+            List<FailoverAction> actions =
+                    new ArrayList<>(endAttempt(FailoverSettings.BLOCKED_BACKOFF_NANOS, now));
+            if (now - nextReportAt >= 0) {
+                nextReportAt = now + FailoverSettings.BLOCKED_REPORT_NANOS;
+                actions.add(new FailoverAction.ReportBlocked(group, blocked.reason()));
+            }
+            return actions;
         }
-        return now - noPrimarySince.get() >= FailoverSettings.NO_PRIMARY_TIMEOUT_NANOS;
+        return endAttempt(FailoverSettings.CALL_BACKOFF_NANOS, now);
     }
 
-    private List<ServerRecord> promotableReplicas(
-            DirectoryState state, Option<ServerRecord> primary) {
-        String id = primary.map(ServerRecord::id).getOrElse("");
-        return state.members(group).stream()
-                .filter(s -> s.state() == ServerState.READY && !s.id().equals(id))
-                .filter(s -> !rejectedServers.contains(s.id()))
-                .toList();
-    }
-
-    /** Records the status of a replica; ignored unless the current survey asked for it. */
-    void recordStatus(ServerRecord server, ServerStatus status) {
-        if (phase == Phase.SURVEYING) {
-            survey.record(server.id(), status.received());
+    /** Ends an attempt without a promotion, and resumes replication. */
+    private List<FailoverAction> endAttempt(long backoffNanos, long now) {
+        phase = Phase.WATCHING;
+        phaseDeadline = now + backoffNanos;
+        if (!attempt.suspends()) {
+            return List.of();
         }
+        return view.members().servers().stream()
+                .map(s -> (FailoverAction) new FailoverAction.ResumeReplication(s))
+                .toList();
     }
 
-    private List<FailoverAction> survey(DirectoryState state, int syncReplicas, long now) {
-        boolean timedOut = now - phaseDeadline >= 0;
-        boolean awaitsPositions =
-                plannedHandover
-                        ? !handoverComplete() && !timedOut
-                        : !survey.complete() && !timedOut;
-        if (awaitsPositions) {
-            return plannedHandover && survey.complete() ? repeatSurvey(state, now) : List.of();
-        }
-        if (primaryReachableAgain(state, now)) {
-            return abandon(state, now);
-        }
-        if (primaryMayBeInUse(state, now)) {
-            return repeatSurvey(state, now);
+    private List<FailoverAction> promote(FailoverAttempt.Result.Promote promotion, long now) {
+        ServerRecord server = promotion.server();
+        // A delayed call would replace the server promoted now.
+        if (view.exclusiveCalls() && call.delayedCallPossible(server.id(), now)) {
+            return attempt.repeat(view, now);
         }
-        Option<String> best = survey.mostAdvanced();
-        if (!survey.sufficient(syncReplicas) || best.isEmpty()) {
-            return abandon(state, now);
-        }
-        // Without fencing by the platform, a delayed call would depose the server promoted now.
-        if (leases.required() && call.delayedCallPossible(best.get(), now)) {
-            return repeatSurvey(state, now);
-        }
-        reason += "; last position " + steppedDownAt.getOrNull() + "; replica positions " + survey;
-        return order(best.get(), now);
-    }
-
-    /** Returns whether a proxy may still acknowledge commits of the primary being replaced. */
-    private boolean primaryMayBeInUse(DirectoryState state, long now) {
-        // A primary that has restarted since it stepped down may lead again.
-        boolean sameIncarnation =
-                replacedPrimary.exists(
-                        replaced ->
-                                state.servers()
-                                        .get(replaced.id())
-                                        .exists(
-                                                s ->
-                                                        s.startedAtMillis()
-                                                                == replaced.startedAtMillis()));
-        boolean steppedDown = steppedDownAt.isDefined() && sameIncarnation;
-        return !steppedDown && leases.outstanding(group, now);
-    }
-
-    private boolean primaryReachableAgain(DirectoryState state, long now) {
-        return !plannedHandover
-                && state.primary(group).isDefined()
-                && steppedDownAt.isEmpty()
-                && failureDetector.majorityReachesLeader(observers, now);
+        reason += "; " + promotion.positions();
+        return order(server.id(), now);
     }
 
-    /** Asks the primary to step down once more and updates the positions while waiting. */
-    private List<FailoverAction> repeatSurvey(DirectoryState state, long now) {
-        if (now - nextSurveyAt < 0) {
+    /** Lets the directory follow a server that leads the group already. */
+    private List<FailoverAction> adopt(ServerRecord server, long now) {
+        if (view.exclusiveCalls() && call.delayedCallPossible(server.id(), now)) {
+            phase = Phase.WATCHING;
+            phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
             return List.of();
         }
-        List<FailoverAction> actions = new ArrayList<>();
-        if (steppedDownAt.isEmpty() && now - nextStepDownAt >= 0) {
-            nextStepDownAt = now + FailoverSettings.SURVEY_INTERVAL_NANOS;
-            replacedPrimary.forEach(p -> actions.add(new FailoverAction.StepDown(p)));
+        Option<Promotion> newest = view.state().promotions().get(group);
+        boolean ordered = newest.exists(p -> p.server().equals(server.id()));
+        boolean named = view.state().primary(group).exists(p -> p.id().equals(server.id()));
+        if (!ordered && !(newest.isEmpty() && named)) {
+            reason += "; " + server.id() + " leads the group already";
+            return order(server.id(), now);
         }
-        actions.addAll(surveyActions(surveyedMembers(state), now));
-        return actions;
-    }
-
-    private List<ServerRecord> surveyedMembers(DirectoryState state) {
-        return state.members(group).stream().filter(s -> survey.includes(s.id())).toList();
-    }
-
-    /** Returns whether a replica has received every commit of the draining primary. */
-    private boolean handoverComplete() {
-        return steppedDownAt.exists(survey::reached);
-    }
-
-    private List<FailoverAction> abandon(DirectoryState state, long now) {
         phase = Phase.WATCHING;
         phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
-        if (!replicationSuspended) {
-            return List.of();
-        }
-        replicationSuspended = false;
-        return surveyedMembers(state).stream()
-                .map(s -> (FailoverAction) new FailoverAction.ResumeReplication(s))
-                .toList();
+        return view.unconfirmedOrder()
+                .map(p -> (FailoverAction) new FailoverAction.ConfirmPromotion(group, p.token()))
+                .toJavaList();
     }
 
     private List<FailoverAction> order(String server, long now) {
@@ -319,9 +239,8 @@
      * Repeats the call, unless the proxies reach a leader again: an unanswered call may have been
      * carried out. Under leases the proxies reach no leader before the promotion is confirmed.
      */
-    private List<FailoverAction> retryCall(DirectoryState state, long now) {
-        boolean leaderFound =
-                !leases.required() && failureDetector.majorityReachesLeader(observers, now);
+    private List<FailoverAction> retryCall(long now) {
+        boolean leaderFound = !leases.required() && view.majorityReachesLeader(now);
         if (call.calls() > 0 && leaderFound) {
             phase = Phase.SETTLING;
             phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
@@ -334,9 +253,9 @@
         if (!call.due(now)) {
             return List.of();
         }
-        // Without fencing by the platform another server must not be called before this call has
-        // certainly ended, so only an answer ends the calls.
-        if (!leases.required() && call.calls() >= FailoverSettings.MAX_CALLS_PER_ORDER) {
+        // Where another server must not be called before this call has certainly ended, only an
+        // answer ends the calls.
+        if (!view.exclusiveCalls() && call.calls() >= FailoverSettings.MAX_CALLS_PER_ORDER) {
             rejectedServers.add(call.server());
             phase = Phase.WATCHING;
             return List.of();
@@ -349,24 +268,45 @@
         if (phase != Phase.CALLING || calledToken != call.token()) {
             return List.of();
         }
-        switch (outcome) {
-            case ACCEPTED -> {
-                phase = Phase.SETTLING;
-                phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
-                failureDetector.clear();
-                leases.resume(group);
-                return List.of(new FailoverAction.ConfirmPromotion(group, calledToken));
-            }
-            case REJECTED -> {
-                rejectedServers.add(call.server());
-                phase = Phase.WATCHING;
-                phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
-            }
-            case UNKNOWN -> call.recordUnanswered(now);
+        if (outcome == CallOutcome.UNKNOWN) {
+            call.recordUnanswered(now);
+            return List.of();
         }
+        if (outcome == CallOutcome.ACCEPTED) {
+            phase = Phase.SETTLING;
+            phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
+            failureDetector.clear();
+            leases.resume(group);
+            return List.of(new FailoverAction.ConfirmPromotion(group, calledToken));
+        }
+        rejectedServers.add(call.server());
+        phase = Phase.WATCHING;
+        phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
         return List.of();
     }
 
+    private List<FailoverAction> settle(long now) {
+        if (now - phaseDeadline >= 0) {
+            phase = Phase.WATCHING;
+            rejectedServers.clear();
+        }
+        return List.of();
+    }
+
+    /** Records the status of a server that was asked or instructed. */
+    void recordStatus(ServerRecord server, ServerStatus status) {
+        if (phase == Phase.ATTEMPTING) {
+            attempt.recordStatus(server, status);
+        }
+    }
+
+    /** Records the last position of the primary that is being replaced and has stepped down. */
+    void recordStepDown(String server, Position position) {
+        if (phase == Phase.ATTEMPTING && replaced.is(server)) {
+            attempt.recordStepDown(replaced.server().get(), position);
+        }
+    }
+
     /** Returns the state as one line of the state dump. */
     String describe(long now) {
         return group
@@ -377,7 +317,7 @@
                 + " token="
                 + call.token()
                 + " replaced="
-                + replacedPrimary.map(ServerRecord::id).getOrElse("")
+                + replaced.server().map(ServerRecord::id).getOrElse("")
                 + " leases="
                 + leases.holders(group, now)
                 + " reason="
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryFailureDetector.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryFailureDetector.java
@@ -56,15 +56,26 @@
      * server it is.
      */
     boolean majorityReachesLeader(int observers, long now) {
-        int reaching = 0;
-        for (Report report : reports.values()) {
-            boolean fresh = now - report.receivedAt() <= FailoverSettings.REPORT_MAX_AGE_NANOS;
-            if (fresh
-                    && !report.refused()
-                    && report.silentNanos() < FailoverSettings.OVERDUE_NANOS) {
-                reaching++;
-            }
-        }
+        return majority(reports.values().stream().filter(r -> reaches(r, now)).count(), observers);
+    }
+
+    /**
+     * Returns whether a majority of the proxies that use the primary reaches this server as one.
+     */
+    boolean majorityReaches(String server, int observers, long now) {
+        long reaching =
+                reports.values().stream()
+                        .filter(r -> r.server().equals(server) && reaches(r, now))
+                        .count();
+        return majority(reaching, observers);
+    }
+
+    private static boolean reaches(Report report, long now) {
+        boolean fresh = now - report.receivedAt() <= FailoverSettings.REPORT_MAX_AGE_NANOS;
+        return fresh && !report.refused() && report.silentNanos() < FailoverSettings.OVERDUE_NANOS;
+    }
+
+    private static boolean majority(long reaching, int observers) {
         return reaching > 0 && reaching * 2 > observers;
     }
 
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PromotionChoice.java
@@ -0,0 +1,36 @@
+package org.ragwortmoor.coordination.directory;
+
+import io.vavr.control.Option;
+import java.util.Comparator;
+import org.ragwortmoor.state.Position;
+import org.ragwortmoor.state.directory.ServerRecord;
+
+/**
+ * Chooses the server that is promoted: of those that have received everything that they must have,
+ * the ones with the best standing, and of these the one with the highest position.
+ */
+final class PromotionChoice {
+    private PromotionChoice() {}
+
+    /**
+     * Returns the server to promote, or none if none has received enough.
+     *
+     * @param bound position that the server must have received
+     */
+    static Option<ServerRecord> of(GroupMembers members, GroupSurvey survey, Position bound) {
+        Comparator<GroupMembers.Member> byStanding =
+                Comparator.comparing(member -> member.standing().choice());
+        Comparator<GroupMembers.Member> byPosition =
+                Comparator.comparing(member -> position(member, survey));
+        return Option.ofOptional(
+                members.members().stream()
+                        .filter(m -> m.standing().choice() != ServerStanding.Choice.NEVER)
+                        .filter(m -> survey.reached(m.server(), bound))
+                        .min(byStanding.thenComparing(byPosition.reversed()))
+                        .map(GroupMembers.Member::server));
+    }
+
+    private static Position position(GroupMembers.Member member, GroupSurvey survey) {
+        return survey.status(member.server()).map(ServerStatus::received).getOrElse(Position.ZERO);
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -6,20 +6,26 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import org.ragwortmoor.protocol.wire.DepartureMessage;
 import org.ragwortmoor.protocol.wire.DirectoryCommandMessage;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
 import org.ragwortmoor.protocol.wire.DirectorySnapshotMessage;
 import org.ragwortmoor.protocol.wire.FleetSizeMessage;
 import org.ragwortmoor.protocol.wire.GroupLimitsMessage;
+import org.ragwortmoor.protocol.wire.GroupReplicationMessage;
 import org.ragwortmoor.protocol.wire.PromotionConfirmationMessage;
 import org.ragwortmoor.protocol.wire.PromotionMessage;
+import org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage;
 import org.ragwortmoor.protocol.wire.RouteMessage;
 import org.ragwortmoor.protocol.wire.RouteTableChangeMessage;
 import org.ragwortmoor.protocol.wire.RouteTableMessage;
 import org.ragwortmoor.protocol.wire.ServerMessage;
+import org.ragwortmoor.protocol.wire.SuspensionMessage;
+import org.ragwortmoor.state.directory.Departure;
 import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.FleetSize;
+import org.ragwortmoor.state.directory.GroupReplication;
 import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
@@ -51,6 +57,16 @@
                     PromotionConfirmationMessage.newBuilder()
                             .setGroup(confirmation.group())
                             .setToken(confirmation.token()));
+        } else if (command instanceof DirectoryCommand.RecordSuspension suspension) {
+            builder.setRecordSuspension(
+                    SuspensionMessage.newBuilder()
+                            .setGroup(suspension.group())
+                            .setSuspended(suspension.suspended()));
+        } else if (command instanceof DirectoryCommand.ConfirmReplication confirmation) {
+            builder.setConfirmReplication(
+                    ReplicationConfirmationMessage.newBuilder()
+                            .setGroup(confirmation.group())
+                            .setIndex(confirmation.index()));
         } else if (command instanceof DirectoryCommand.SetFleetSize set) {
             builder.setFleetSize(
                     FleetSizeMessage.newBuilder()
@@ -89,6 +105,14 @@
                             new FleetSize(
                                     message.getFleetSize().getProxies(),
                                     message.getFleetSize().getDomains()));
+            case RECORD_SUSPENSION ->
+                    new DirectoryCommand.RecordSuspension(
+                            message.getRecordSuspension().getGroup(),
+                            message.getRecordSuspension().getSuspended());
+            case CONFIRM_REPLICATION ->
+                    new DirectoryCommand.ConfirmReplication(
+                            message.getConfirmReplication().getGroup(),
+                            message.getConfirmReplication().getIndex());
             case READ_BARRIER -> new DirectoryCommand.ReadBarrier(message.getReadBarrier());
             case COMMAND_NOT_SET -> throw MalformedException.missing("command");
         };
@@ -113,9 +137,40 @@
                             .setToken(promotion.token())
                             .setConfirmed(promotion.confirmed()));
         }
+        state.replication().forEach((group, r) -> builder.addReplication(encode(group, r)));
         return builder.build().toByteArray();
     }
 
+    private static GroupReplicationMessage encode(String group, GroupReplication replication) {
+        GroupReplicationMessage.Builder builder =
+                GroupReplicationMessage.newBuilder()
+                        .setGroup(group)
+                        .setSuspended(replication.suspended());
+        for (Departure departure : replication.departures()) {
+            builder.addDepartures(
+                    DepartureMessage.newBuilder()
+                            .setServer(departure.server())
+                            .setStartedAtMillis(departure.startedAtMillis())
+                            .setAddress(departure.address())
+                            .setIndex(departure.index()));
+        }
+        return builder.build();
+    }
+
+    private static GroupReplication decode(GroupReplicationMessage message) {
+        return new GroupReplication(
+                message.getSuspended(),
+                message.getDeparturesList().stream()
+                        .map(
+                                d ->
+                                        new Departure(
+                                                d.getServer(),
+                                                d.getStartedAtMillis(),
+                                                d.getAddress(),
+                                                d.getIndex()))
+                        .toList());
+    }
+
     /** Parses a directory; returns an error that names the invalid field if it is malformed. */
     public static Either<ProtocolError, DirectoryState> decodeState(byte[] bytes) {
         return MalformedException.tryConvert(
@@ -140,13 +195,18 @@
                                     p.getToken(),
                                     p.getConfirmed()));
         }
+        Map<String, GroupReplication> replication = LinkedHashMap.empty();
+        for (GroupReplicationMessage r : message.getReplicationList()) {
+            replication = replication.put(r.getGroup(), decode(r));
+        }
         return new DirectoryState(
                 decode(message.getRoutes()),
                 message.getRoutesRevision(),
                 servers,
                 message.getServersRevision(),
                 promotions,
-                new FleetSize(message.getProxies(), message.getDomains()));
+                new FleetSize(message.getProxies(), message.getDomains()),
+                replication);
     }
 
     /**
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -56,6 +56,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragwortmoor_directory_PromotionConfirmationMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_SuspensionMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_SuspensionMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_DepartureMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_DepartureMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_GroupReplicationMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_GroupReplicationMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragwortmoor_directory_FleetSizeMessage_descriptor;
   static final 
@@ -151,80 +171,94 @@
       "erver\030\002 \001(\t\022\016\n\006holder\030\003 \001(\t\022\r\n\005token\030\004 \001" +
       "(\004\022\021\n\tconfirmed\030\005 \001(\010\"<\n\034PromotionConfir" +
       "mationMessage\022\r\n\005group\030\001 \001(\t\022\r\n\005token\030\002 " +
-      "\001(\004\"4\n\020FleetSizeMessage\022\017\n\007proxies\030\001 \001(\r" +
-      "\022\017\n\007domains\030\002 \001(\r\"\246\003\n\027DirectoryCommandMe" +
-      "ssage\022>\n\nput_routes\030\001 \001(\0132(.ragwortmoor." +
-      "directory.RouteTableMessageH\000\022:\n\nput_ser" +
-      "ver\030\002 \001(\0132$.ragwortmoor.directory.Server" +
-      "MessageH\000\022B\n\017order_promotion\030\003 \001(\0132\'.rag" +
-      "wortmoor.directory.PromotionMessageH\000\022\026\n" +
-      "\014read_barrier\030\004 \001(\004H\000\022\027\n\rcount_proxies\030\005" +
-      " \001(\rH\000\022P\n\021confirm_promotion\030\006 \001(\01323.ragw" +
-      "ortmoor.directory.PromotionConfirmationM" +
-      "essageH\000\022=\n\nfleet_size\030\007 \001(\0132\'.ragwortmo" +
-      "or.directory.FleetSizeMessageH\000B\t\n\007comma" +
-      "nd\"\235\002\n\030DirectorySnapshotMessage\0228\n\006route" +
-      "s\030\001 \001(\0132(.ragwortmoor.directory.RouteTab" +
-      "leMessage\022\027\n\017routes_revision\030\002 \001(\004\0225\n\007se" +
-      "rvers\030\003 \003(\0132$.ragwortmoor.directory.Serv" +
-      "erMessage\022\030\n\020servers_revision\030\004 \001(\004\022;\n\np" +
-      "romotions\030\005 \003(\0132\'.ragwortmoor.directory." +
-      "PromotionMessage\022\017\n\007proxies\030\006 \001(\r\022\017\n\007dom" +
-      "ains\030\007 \001(\r\"\214\001\n\031PrimaryObservationMessage" +
-      "\022\r\n\005group\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsilen" +
-      "t_millis\030\003 \001(\r\022\017\n\007refused\030\004 \001(\010\022\023\n\013holds" +
-      "_lease\030\005 \001(\010\022\023\n\013needs_lease\030\006 \001(\010\"\243\002\n\021No" +
-      "deReportMessage\022\r\n\005proxy\030\001 \001(\t\022\027\n\017routes" +
-      "_revision\030\002 \001(\004\022\030\n\020servers_revision\030\003 \001(" +
-      "\004\022C\n\tprimaries\030\004 \003(\01320.ragwortmoor.direc" +
-      "tory.PrimaryObservationMessage\022\n\n\002id\030\005 \001" +
-      "(\004\022\023\n\013incarnation\030\006 \001(\006\022\016\n\006domain\030\007 \001(\t\022" +
-      "\032\n\022forwarding_address\030\010 \001(\t\022\027\n\017neighbour" +
-      "s_hash\030\t \001(\006\022\020\n\010stopping\030\n \001(\010\022\017\n\007relaye" +
-      "d\030\013 \001(\010\"\344\001\n\027RouteTableChangeMessage\022\025\n\rb" +
-      "ase_revision\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\017\n\007r" +
-      "emoved\030\003 \003(\t\0224\n\007changed\030\004 \003(\0132#.ragwortm" +
-      "oor.directory.RouteMessage\0229\n\006groups\030\005 \003" +
-      "(\0132).ragwortmoor.directory.GroupLimitsMe" +
-      "ssage\022\037\n\027idle_transaction_millis\030\006 \001(\r\"1" +
-      "\n\020NeighbourMessage\022\014\n\004name\030\001 \001(\t\022\017\n\007addr" +
-      "ess\030\002 \001(\t\"\370\004\n\026DirectoryUpdateMessage\022\016\n\006" +
-      "leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxies" +
-      "\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006route" +
-      "s\030\005 \001(\0132(.ragwortmoor.directory.RouteTab" +
-      "leMessage\022\030\n\020servers_revision\030\006 \001(\004\022\023\n\013h" +
-      "as_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.ragw" +
-      "ortmoor.directory.ServerMessage\022\021\n\trepor" +
-      "t_id\030\t \001(\004\022\024\n\014lease_millis\030\n \001(\r\022\027\n\017with" +
-      "held_groups\030\013 \003(\t\022\017\n\007domains\030\014 \001(\r\022\027\n\017ne" +
-      "ighbours_hash\030\r \001(\006\022;\n\nneighbours\030\016 \003(\0132" +
-      "\'.ragwortmoor.directory.NeighbourMessage" +
-      "\022\026\n\016needs_identity\030\017 \001(\010\022E\n\rroutes_chang" +
-      "e\030\020 \001(\0132..ragwortmoor.directory.RouteTab" +
-      "leChangeMessage\022\023\n\013destination\030\022 \001(\t\0227\n\006" +
-      "relays\030\023 \003(\0132\'.ragwortmoor.directory.Nei" +
-      "ghbourMessage\022\035\n\025servers_base_revision\030\021" +
-      " \001(\004\"A\n\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027Forw" +
-      "ardedRequestMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput_r" +
-      "outes\030\002 \001(\0132(.ragwortmoor.directory.Rout" +
-      "eTableMessageH\000\022H\n\014announcement\030\003 \001(\01320." +
-      "ragwortmoor.directory.ServerAnnouncement" +
-      "MessageH\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007requ" +
-      "est\"c\n\031ServerAnnouncementMessage\0224\n\006serv" +
-      "er\030\001 \001(\0132$.ragwortmoor.directory.ServerM" +
-      "essage\022\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedAns" +
-      "werMessage\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022" +
-      "\016\n\006source\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:\n\006" +
-      "report\030\001 \001(\0132(.ragwortmoor.directory.Nod" +
-      "eReportMessageH\000\022?\n\006update\030\002 \001(\0132-.ragwo" +
-      "rtmoor.directory.DirectoryUpdateMessageH" +
-      "\000\0222\n\004join\030\003 \001(\0132\".ragwortmoor.directory." +
-      "JoinMessageH\000\022A\n\007request\030\004 \001(\0132..ragwort" +
-      "moor.directory.ForwardedRequestMessageH\000" +
-      "\022?\n\006answer\030\005 \001(\0132-.ragwortmoor.directory" +
-      ".ForwardedAnswerMessageH\000B\006\n\004bodyB!\n\035org" +
-      ".ragwortmoor.protocol.wireP\001b\006proto3"
+      "\001(\004\"5\n\021SuspensionMessage\022\r\n\005group\030\001 \001(\t\022" +
+      "\021\n\tsuspended\030\002 \001(\010\">\n\036ReplicationConfirm" +
+      "ationMessage\022\r\n\005group\030\001 \001(\t\022\r\n\005index\030\002 \001" +
+      "(\004\"]\n\020DepartureMessage\022\016\n\006server\030\001 \001(\t\022\031" +
+      "\n\021started_at_millis\030\002 \001(\003\022\017\n\007address\030\003 \001" +
+      "(\t\022\r\n\005index\030\004 \001(\004\"x\n\027GroupReplicationMes" +
+      "sage\022\r\n\005group\030\001 \001(\t\022\021\n\tsuspended\030\002 \001(\010\022;" +
+      "\n\ndepartures\030\003 \003(\0132\'.ragwortmoor.directo" +
+      "ry.DepartureMessage\"4\n\020FleetSizeMessage\022" +
+      "\017\n\007proxies\030\001 \001(\r\022\017\n\007domains\030\002 \001(\r\"\303\004\n\027Di" +
+      "rectoryCommandMessage\022>\n\nput_routes\030\001 \001(" +
+      "\0132(.ragwortmoor.directory.RouteTableMess" +
+      "ageH\000\022:\n\nput_server\030\002 \001(\0132$.ragwortmoor." +
+      "directory.ServerMessageH\000\022B\n\017order_promo" +
+      "tion\030\003 \001(\0132\'.ragwortmoor.directory.Promo" +
+      "tionMessageH\000\022\026\n\014read_barrier\030\004 \001(\004H\000\022\027\n" +
+      "\rcount_proxies\030\005 \001(\rH\000\022P\n\021confirm_promot" +
+      "ion\030\006 \001(\01323.ragwortmoor.directory.Promot" +
+      "ionConfirmationMessageH\000\022=\n\nfleet_size\030\007" +
+      " \001(\0132\'.ragwortmoor.directory.FleetSizeMe" +
+      "ssageH\000\022E\n\021record_suspension\030\010 \001(\0132(.rag" +
+      "wortmoor.directory.SuspensionMessageH\000\022T" +
+      "\n\023confirm_replication\030\t \001(\01325.ragwortmoo" +
+      "r.directory.ReplicationConfirmationMessa" +
+      "geH\000B\t\n\007command\"\342\002\n\030DirectorySnapshotMes" +
+      "sage\0228\n\006routes\030\001 \001(\0132(.ragwortmoor.direc" +
+      "tory.RouteTableMessage\022\027\n\017routes_revisio" +
+      "n\030\002 \001(\004\0225\n\007servers\030\003 \003(\0132$.ragwortmoor.d" +
+      "irectory.ServerMessage\022\030\n\020servers_revisi" +
+      "on\030\004 \001(\004\022;\n\npromotions\030\005 \003(\0132\'.ragwortmo" +
+      "or.directory.PromotionMessage\022\017\n\007proxies" +
+      "\030\006 \001(\r\022\017\n\007domains\030\007 \001(\r\022C\n\013replication\030\010" +
+      " \003(\0132..ragwortmoor.directory.GroupReplic" +
+      "ationMessage\"\214\001\n\031PrimaryObservationMessa" +
+      "ge\022\r\n\005group\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsil" +
+      "ent_millis\030\003 \001(\r\022\017\n\007refused\030\004 \001(\010\022\023\n\013hol" +
+      "ds_lease\030\005 \001(\010\022\023\n\013needs_lease\030\006 \001(\010\"\243\002\n\021" +
+      "NodeReportMessage\022\r\n\005proxy\030\001 \001(\t\022\027\n\017rout" +
+      "es_revision\030\002 \001(\004\022\030\n\020servers_revision\030\003 " +
+      "\001(\004\022C\n\tprimaries\030\004 \003(\01320.ragwortmoor.dir" +
+      "ectory.PrimaryObservationMessage\022\n\n\002id\030\005" +
+      " \001(\004\022\023\n\013incarnation\030\006 \001(\006\022\016\n\006domain\030\007 \001(" +
+      "\t\022\032\n\022forwarding_address\030\010 \001(\t\022\027\n\017neighbo" +
+      "urs_hash\030\t \001(\006\022\020\n\010stopping\030\n \001(\010\022\017\n\007rela" +
+      "yed\030\013 \001(\010\"\344\001\n\027RouteTableChangeMessage\022\025\n" +
+      "\rbase_revision\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\017\n" +
+      "\007removed\030\003 \003(\t\0224\n\007changed\030\004 \003(\0132#.ragwor" +
+      "tmoor.directory.RouteMessage\0229\n\006groups\030\005" +
+      " \003(\0132).ragwortmoor.directory.GroupLimits" +
+      "Message\022\037\n\027idle_transaction_millis\030\006 \001(\r" +
+      "\"1\n\020NeighbourMessage\022\014\n\004name\030\001 \001(\t\022\017\n\007ad" +
+      "dress\030\002 \001(\t\"\370\004\n\026DirectoryUpdateMessage\022\016" +
+      "\n\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxi" +
+      "es\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006rou" +
+      "tes\030\005 \001(\0132(.ragwortmoor.directory.RouteT" +
+      "ableMessage\022\030\n\020servers_revision\030\006 \001(\004\022\023\n" +
+      "\013has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.ra" +
+      "gwortmoor.directory.ServerMessage\022\021\n\trep" +
+      "ort_id\030\t \001(\004\022\024\n\014lease_millis\030\n \001(\r\022\027\n\017wi" +
+      "thheld_groups\030\013 \003(\t\022\017\n\007domains\030\014 \001(\r\022\027\n\017" +
+      "neighbours_hash\030\r \001(\006\022;\n\nneighbours\030\016 \003(" +
+      "\0132\'.ragwortmoor.directory.NeighbourMessa" +
+      "ge\022\026\n\016needs_identity\030\017 \001(\010\022E\n\rroutes_cha" +
+      "nge\030\020 \001(\0132..ragwortmoor.directory.RouteT" +
+      "ableChangeMessage\022\023\n\013destination\030\022 \001(\t\0227" +
+      "\n\006relays\030\023 \003(\0132\'.ragwortmoor.directory.N" +
+      "eighbourMessage\022\035\n\025servers_base_revision" +
+      "\030\021 \001(\004\"A\n\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013i" +
+      "ncarnation\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027Fo" +
+      "rwardedRequestMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput" +
+      "_routes\030\002 \001(\0132(.ragwortmoor.directory.Ro" +
+      "uteTableMessageH\000\022H\n\014announcement\030\003 \001(\0132" +
+      "0.ragwortmoor.directory.ServerAnnounceme" +
+      "ntMessageH\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007re" +
+      "quest\"c\n\031ServerAnnouncementMessage\0224\n\006se" +
+      "rver\030\001 \001(\0132$.ragwortmoor.directory.Serve" +
+      "rMessage\022\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedA" +
+      "nswerMessage\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(" +
+      "\t\022\016\n\006source\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:" +
+      "\n\006report\030\001 \001(\0132(.ragwortmoor.directory.N" +
+      "odeReportMessageH\000\022?\n\006update\030\002 \001(\0132-.rag" +
+      "wortmoor.directory.DirectoryUpdateMessag" +
+      "eH\000\0222\n\004join\030\003 \001(\0132\".ragwortmoor.director" +
+      "y.JoinMessageH\000\022A\n\007request\030\004 \001(\0132..ragwo" +
+      "rtmoor.directory.ForwardedRequestMessage" +
+      "H\000\022?\n\006answer\030\005 \001(\0132-.ragwortmoor.directo" +
+      "ry.ForwardedAnswerMessageH\000B\006\n\004bodyB!\n\035o" +
+      "rg.ragwortmoor.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -266,80 +300,104 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_PromotionConfirmationMessage_descriptor,
         new java.lang.String[] { "Group", "Token", });
-    internal_static_ragwortmoor_directory_FleetSizeMessage_descriptor =
+    internal_static_ragwortmoor_directory_SuspensionMessage_descriptor =
       getDescriptor().getMessageType(6);
+    internal_static_ragwortmoor_directory_SuspensionMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_SuspensionMessage_descriptor,
+        new java.lang.String[] { "Group", "Suspended", });
+    internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_descriptor,
+        new java.lang.String[] { "Group", "Index", });
+    internal_static_ragwortmoor_directory_DepartureMessage_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_ragwortmoor_directory_DepartureMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_DepartureMessage_descriptor,
+        new java.lang.String[] { "Server", "StartedAtMillis", "Address", "Index", });
+    internal_static_ragwortmoor_directory_GroupReplicationMessage_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_ragwortmoor_directory_GroupReplicationMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_GroupReplicationMessage_descriptor,
+        new java.lang.String[] { "Group", "Suspended", "Departures", });
+    internal_static_ragwortmoor_directory_FleetSizeMessage_descriptor =
+      getDescriptor().getMessageType(10);
     internal_static_ragwortmoor_directory_FleetSizeMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_FleetSizeMessage_descriptor,
         new java.lang.String[] { "Proxies", "Domains", });
     internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(11);
     internal_static_ragwortmoor_directory_DirectoryCommandMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor,
-        new java.lang.String[] { "PutRoutes", "PutServer", "OrderPromotion", "ReadBarrier", "CountProxies", "ConfirmPromotion", "FleetSize", "Command", });
+        new java.lang.String[] { "PutRoutes", "PutServer", "OrderPromotion", "ReadBarrier", "CountProxies", "ConfirmPromotion", "FleetSize", "RecordSuspension", "ConfirmReplication", "Command", });
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(12);
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor,
-        new java.lang.String[] { "Routes", "RoutesRevision", "Servers", "ServersRevision", "Promotions", "Proxies", "Domains", });
+        new java.lang.String[] { "Routes", "RoutesRevision", "Servers", "ServersRevision", "Promotions", "Proxies", "Domains", "Replication", });
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(13);
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_PrimaryObservationMessage_descriptor,
         new java.lang.String[] { "Group", "Server", "SilentMillis", "Refused", "HoldsLease", "NeedsLease", });
     internal_static_ragwortmoor_directory_NodeReportMessage_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(14);
     internal_static_ragwortmoor_directory_NodeReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NodeReportMessage_descriptor,
         new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", "Relayed", });
     internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(15);
     internal_static_ragwortmoor_directory_RouteTableChangeMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor,
         new java.lang.String[] { "BaseRevision", "Version", "Removed", "Changed", "Groups", "IdleTransactionMillis", });
     internal_static_ragwortmoor_directory_NeighbourMessage_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(16);
     internal_static_ragwortmoor_directory_NeighbourMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NeighbourMessage_descriptor,
         new java.lang.String[] { "Name", "Address", });
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(17);
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor,
         new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", "Domains", "NeighboursHash", "Neighbours", "NeedsIdentity", "RoutesChange", "Destination", "Relays", "ServersBaseRevision", });
     internal_static_ragwortmoor_directory_JoinMessage_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(18);
     internal_static_ragwortmoor_directory_JoinMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_JoinMessage_descriptor,
         new java.lang.String[] { "Node", "Incarnation", "Address", });
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(19);
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor,
         new java.lang.String[] { "Id", "PutRoutes", "Announcement", "ReadRoutes", "Request", });
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(20);
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor,
         new java.lang.String[] { "Server", "Sequence", });
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(21);
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor,
         new java.lang.String[] { "Id", "Outcome", "Source", });
     internal_static_ragwortmoor_directory_DirectoryMessage_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(22);
     internal_static_ragwortmoor_directory_DirectoryMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryMessage_descriptor,
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessage.java
@@ -56,6 +56,8 @@
     COUNT_PROXIES(5),
     CONFIRM_PROMOTION(6),
     FLEET_SIZE(7),
+    RECORD_SUSPENSION(8),
+    CONFIRM_REPLICATION(9),
     COMMAND_NOT_SET(0);
     private final int value;
     private CommandCase(int value) {
@@ -80,6 +82,8 @@
         case 5: return COUNT_PROXIES;
         case 6: return CONFIRM_PROMOTION;
         case 7: return FLEET_SIZE;
+        case 8: return RECORD_SUSPENSION;
+        case 9: return CONFIRM_REPLICATION;
         case 0: return COMMAND_NOT_SET;
         default: return null;
       }
@@ -300,6 +304,68 @@
     return org.ragwortmoor.protocol.wire.FleetSizeMessage.getDefaultInstance();
   }
 
+  public static final int RECORD_SUSPENSION_FIELD_NUMBER = 8;
+  /**
+   * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+   * @return Whether the recordSuspension field is set.
+   */
+  @java.lang.Override
+  public boolean hasRecordSuspension() {
+    return commandCase_ == 8;
+  }
+  /**
+   * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+   * @return The recordSuspension.
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.SuspensionMessage getRecordSuspension() {
+    if (commandCase_ == 8) {
+       return (org.ragwortmoor.protocol.wire.SuspensionMessage) command_;
+    }
+    return org.ragwortmoor.protocol.wire.SuspensionMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.SuspensionMessageOrBuilder getRecordSuspensionOrBuilder() {
+    if (commandCase_ == 8) {
+       return (org.ragwortmoor.protocol.wire.SuspensionMessage) command_;
+    }
+    return org.ragwortmoor.protocol.wire.SuspensionMessage.getDefaultInstance();
+  }
+
+  public static final int CONFIRM_REPLICATION_FIELD_NUMBER = 9;
+  /**
+   * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+   * @return Whether the confirmReplication field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfirmReplication() {
+    return commandCase_ == 9;
+  }
+  /**
+   * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+   * @return The confirmReplication.
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage getConfirmReplication() {
+    if (commandCase_ == 9) {
+       return (org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_;
+    }
+    return org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.ReplicationConfirmationMessageOrBuilder getConfirmReplicationOrBuilder() {
+    if (commandCase_ == 9) {
+       return (org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_;
+    }
+    return org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -337,6 +403,12 @@
     if (commandCase_ == 7) {
       output.writeMessage(7, (org.ragwortmoor.protocol.wire.FleetSizeMessage) command_);
     }
+    if (commandCase_ == 8) {
+      output.writeMessage(8, (org.ragwortmoor.protocol.wire.SuspensionMessage) command_);
+    }
+    if (commandCase_ == 9) {
+      output.writeMessage(9, (org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -376,6 +448,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(7, (org.ragwortmoor.protocol.wire.FleetSizeMessage) command_);
     }
+    if (commandCase_ == 8) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, (org.ragwortmoor.protocol.wire.SuspensionMessage) command_);
+    }
+    if (commandCase_ == 9) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, (org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -421,6 +501,14 @@
         if (!getFleetSize()
             .equals(other.getFleetSize())) return false;
         break;
+      case 8:
+        if (!getRecordSuspension()
+            .equals(other.getRecordSuspension())) return false;
+        break;
+      case 9:
+        if (!getConfirmReplication()
+            .equals(other.getConfirmReplication())) return false;
+        break;
       case 0:
       default:
     }
@@ -465,6 +553,14 @@
         hash = (37 * hash) + FLEET_SIZE_FIELD_NUMBER;
         hash = (53 * hash) + getFleetSize().hashCode();
         break;
+      case 8:
+        hash = (37 * hash) + RECORD_SUSPENSION_FIELD_NUMBER;
+        hash = (53 * hash) + getRecordSuspension().hashCode();
+        break;
+      case 9:
+        hash = (37 * hash) + CONFIRM_REPLICATION_FIELD_NUMBER;
+        hash = (53 * hash) + getConfirmReplication().hashCode();
+        break;
       case 0:
       default:
     }
@@ -614,6 +710,12 @@
       if (fleetSizeBuilder_ != null) {
         fleetSizeBuilder_.clear();
       }
+      if (recordSuspensionBuilder_ != null) {
+        recordSuspensionBuilder_.clear();
+      }
+      if (confirmReplicationBuilder_ != null) {
+        confirmReplicationBuilder_.clear();
+      }
       commandCase_ = 0;
       command_ = null;
       return this;
@@ -675,6 +777,14 @@
           fleetSizeBuilder_ != null) {
         result.command_ = fleetSizeBuilder_.build();
       }
+      if (commandCase_ == 8 &&
+          recordSuspensionBuilder_ != null) {
+        result.command_ = recordSuspensionBuilder_.build();
+      }
+      if (commandCase_ == 9 &&
+          confirmReplicationBuilder_ != null) {
+        result.command_ = confirmReplicationBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -718,6 +828,14 @@
           mergeFleetSize(other.getFleetSize());
           break;
         }
+        case RECORD_SUSPENSION: {
+          mergeRecordSuspension(other.getRecordSuspension());
+          break;
+        }
+        case CONFIRM_REPLICATION: {
+          mergeConfirmReplication(other.getConfirmReplication());
+          break;
+        }
         case COMMAND_NOT_SET: {
           break;
         }
@@ -793,6 +911,20 @@
               commandCase_ = 7;
               break;
             } // case 58
+            case 66: {
+              input.readMessage(
+                  internalGetRecordSuspensionFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              commandCase_ = 8;
+              break;
+            } // case 66
+            case 74: {
+              input.readMessage(
+                  internalGetConfirmReplicationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              commandCase_ = 9;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1635,6 +1767,290 @@
       return fleetSizeBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.SuspensionMessage, org.ragwortmoor.protocol.wire.SuspensionMessage.Builder, org.ragwortmoor.protocol.wire.SuspensionMessageOrBuilder> recordSuspensionBuilder_;
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     * @return Whether the recordSuspension field is set.
+     */
+    @java.lang.Override
+    public boolean hasRecordSuspension() {
+      return commandCase_ == 8;
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     * @return The recordSuspension.
+     */
+    @java.lang.Override
+    public org.ragwortmoor.protocol.wire.SuspensionMessage getRecordSuspension() {
+      if (recordSuspensionBuilder_ == null) {
+        if (commandCase_ == 8) {
+          return (org.ragwortmoor.protocol.wire.SuspensionMessage) command_;
+        }
+        return org.ragwortmoor.protocol.wire.SuspensionMessage.getDefaultInstance();
+      } else {
+        if (commandCase_ == 8) {
+          return recordSuspensionBuilder_.getMessage();
+        }
+        return org.ragwortmoor.protocol.wire.SuspensionMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     */
+    public Builder setRecordSuspension(org.ragwortmoor.protocol.wire.SuspensionMessage value) {
+      if (recordSuspensionBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        command_ = value;
+        onChanged();
+      } else {
+        recordSuspensionBuilder_.setMessage(value);
+      }
+      commandCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     */
+    public Builder setRecordSuspension(
+        org.ragwortmoor.protocol.wire.SuspensionMessage.Builder builderForValue) {
+      if (recordSuspensionBuilder_ == null) {
+        command_ = builderForValue.build();
+        onChanged();
+      } else {
+        recordSuspensionBuilder_.setMessage(builderForValue.build());
+      }
+      commandCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     */
+    public Builder mergeRecordSuspension(org.ragwortmoor.protocol.wire.SuspensionMessage value) {
+      if (recordSuspensionBuilder_ == null) {
+        if (commandCase_ == 8 &&
+            command_ != org.ragwortmoor.protocol.wire.SuspensionMessage.getDefaultInstance()) {
+          command_ = org.ragwortmoor.protocol.wire.SuspensionMessage.newBuilder((org.ragwortmoor.protocol.wire.SuspensionMessage) command_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          command_ = value;
+        }
+        onChanged();
+      } else {
+        if (commandCase_ == 8) {
+          recordSuspensionBuilder_.mergeFrom(value);
+        } else {
+          recordSuspensionBuilder_.setMessage(value);
+        }
+      }
+      commandCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     */
+    public Builder clearRecordSuspension() {
+      if (recordSuspensionBuilder_ == null) {
+        if (commandCase_ == 8) {
+          commandCase_ = 0;
+          command_ = null;
+          onChanged();
+        }
+      } else {
+        if (commandCase_ == 8) {
+          commandCase_ = 0;
+          command_ = null;
+        }
+        recordSuspensionBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     */
+    public org.ragwortmoor.protocol.wire.SuspensionMessage.Builder getRecordSuspensionBuilder() {
+      return internalGetRecordSuspensionFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     */
+    @java.lang.Override
+    public org.ragwortmoor.protocol.wire.SuspensionMessageOrBuilder getRecordSuspensionOrBuilder() {
+      if ((commandCase_ == 8) && (recordSuspensionBuilder_ != null)) {
+        return recordSuspensionBuilder_.getMessageOrBuilder();
+      } else {
+        if (commandCase_ == 8) {
+          return (org.ragwortmoor.protocol.wire.SuspensionMessage) command_;
+        }
+        return org.ragwortmoor.protocol.wire.SuspensionMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.SuspensionMessage, org.ragwortmoor.protocol.wire.SuspensionMessage.Builder, org.ragwortmoor.protocol.wire.SuspensionMessageOrBuilder> 
+        internalGetRecordSuspensionFieldBuilder() {
+      if (recordSuspensionBuilder_ == null) {
+        if (!(commandCase_ == 8)) {
+          command_ = org.ragwortmoor.protocol.wire.SuspensionMessage.getDefaultInstance();
+        }
+        recordSuspensionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.ragwortmoor.protocol.wire.SuspensionMessage, org.ragwortmoor.protocol.wire.SuspensionMessage.Builder, org.ragwortmoor.protocol.wire.SuspensionMessageOrBuilder>(
+                (org.ragwortmoor.protocol.wire.SuspensionMessage) command_,
+                getParentForChildren(),
+                isClean());
+        command_ = null;
+      }
+      commandCase_ = 8;
+      onChanged();
+      return recordSuspensionBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage, org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.Builder, org.ragwortmoor.protocol.wire.ReplicationConfirmationMessageOrBuilder> confirmReplicationBuilder_;
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     * @return Whether the confirmReplication field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfirmReplication() {
+      return commandCase_ == 9;
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     * @return The confirmReplication.
+     */
+    @java.lang.Override
+    public org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage getConfirmReplication() {
+      if (confirmReplicationBuilder_ == null) {
+        if (commandCase_ == 9) {
+          return (org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_;
+        }
+        return org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.getDefaultInstance();
+      } else {
+        if (commandCase_ == 9) {
+          return confirmReplicationBuilder_.getMessage();
+        }
+        return org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     */
+    public Builder setConfirmReplication(org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage value) {
+      if (confirmReplicationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        command_ = value;
+        onChanged();
+      } else {
+        confirmReplicationBuilder_.setMessage(value);
+      }
+      commandCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     */
+    public Builder setConfirmReplication(
+        org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.Builder builderForValue) {
+      if (confirmReplicationBuilder_ == null) {
+        command_ = builderForValue.build();
+        onChanged();
+      } else {
+        confirmReplicationBuilder_.setMessage(builderForValue.build());
+      }
+      commandCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     */
+    public Builder mergeConfirmReplication(org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage value) {
+      if (confirmReplicationBuilder_ == null) {
+        if (commandCase_ == 9 &&
+            command_ != org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.getDefaultInstance()) {
+          command_ = org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.newBuilder((org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          command_ = value;
+        }
+        onChanged();
+      } else {
+        if (commandCase_ == 9) {
+          confirmReplicationBuilder_.mergeFrom(value);
+        } else {
+          confirmReplicationBuilder_.setMessage(value);
+        }
+      }
+      commandCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     */
+    public Builder clearConfirmReplication() {
+      if (confirmReplicationBuilder_ == null) {
+        if (commandCase_ == 9) {
+          commandCase_ = 0;
+          command_ = null;
+          onChanged();
+        }
+      } else {
+        if (commandCase_ == 9) {
+          commandCase_ = 0;
+          command_ = null;
+        }
+        confirmReplicationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     */
+    public org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.Builder getConfirmReplicationBuilder() {
+      return internalGetConfirmReplicationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     */
+    @java.lang.Override
+    public org.ragwortmoor.protocol.wire.ReplicationConfirmationMessageOrBuilder getConfirmReplicationOrBuilder() {
+      if ((commandCase_ == 9) && (confirmReplicationBuilder_ != null)) {
+        return confirmReplicationBuilder_.getMessageOrBuilder();
+      } else {
+        if (commandCase_ == 9) {
+          return (org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_;
+        }
+        return org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage, org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.Builder, org.ragwortmoor.protocol.wire.ReplicationConfirmationMessageOrBuilder> 
+        internalGetConfirmReplicationFieldBuilder() {
+      if (confirmReplicationBuilder_ == null) {
+        if (!(commandCase_ == 9)) {
+          command_ = org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.getDefaultInstance();
+        }
+        confirmReplicationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage, org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage.Builder, org.ragwortmoor.protocol.wire.ReplicationConfirmationMessageOrBuilder>(
+                (org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage) command_,
+                getParentForChildren(),
+                isClean());
+        command_ = null;
+      }
+      commandCase_ = 9;
+      onChanged();
+      return confirmReplicationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectoryCommandMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryCommandMessageOrBuilder.java
@@ -115,5 +115,35 @@
    */
   org.ragwortmoor.protocol.wire.FleetSizeMessageOrBuilder getFleetSizeOrBuilder();
 
+  /**
+   * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+   * @return Whether the recordSuspension field is set.
+   */
+  boolean hasRecordSuspension();
+  /**
+   * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+   * @return The recordSuspension.
+   */
+  org.ragwortmoor.protocol.wire.SuspensionMessage getRecordSuspension();
+  /**
+   * <code>.ragwortmoor.directory.SuspensionMessage record_suspension = 8;</code>
+   */
+  org.ragwortmoor.protocol.wire.SuspensionMessageOrBuilder getRecordSuspensionOrBuilder();
+
+  /**
+   * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+   * @return Whether the confirmReplication field is set.
+   */
+  boolean hasConfirmReplication();
+  /**
+   * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+   * @return The confirmReplication.
+   */
+  org.ragwortmoor.protocol.wire.ReplicationConfirmationMessage getConfirmReplication();
+  /**
+   * <code>.ragwortmoor.directory.ReplicationConfirmationMessage confirm_replication = 9;</code>
+   */
+  org.ragwortmoor.protocol.wire.ReplicationConfirmationMessageOrBuilder getConfirmReplicationOrBuilder();
+
   org.ragwortmoor.protocol.wire.DirectoryCommandMessage.CommandCase getCommandCase();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessage.java
@@ -30,6 +30,7 @@
   private DirectorySnapshotMessage() {
     servers_ = java.util.Collections.emptyList();
     promotions_ = java.util.Collections.emptyList();
+    replication_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -198,6 +199,67 @@
     return domains_;
   }
 
+  public static final int REPLICATION_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragwortmoor.protocol.wire.GroupReplicationMessage> replication_;
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortmoor.protocol.wire.GroupReplicationMessage> getReplicationList() {
+    return replication_;
+  }
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder> 
+      getReplicationOrBuilderList() {
+    return replication_;
+  }
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  @java.lang.Override
+  public int getReplicationCount() {
+    return replication_.size();
+  }
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.GroupReplicationMessage getReplication(int index) {
+    return replication_.get(index);
+  }
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder getReplicationOrBuilder(
+      int index) {
+    return replication_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -233,6 +295,9 @@
     if (domains_ != 0) {
       output.writeUInt32(7, domains_);
     }
+    for (int i = 0; i < replication_.size(); i++) {
+      output.writeMessage(8, replication_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -270,6 +335,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(7, domains_);
     }
+    for (int i = 0; i < replication_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, replication_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -302,6 +371,8 @@
         != other.getProxies()) return false;
     if (getDomains()
         != other.getDomains()) return false;
+    if (!getReplicationList()
+        .equals(other.getReplicationList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -335,6 +406,10 @@
     hash = (53 * hash) + getProxies();
     hash = (37 * hash) + DOMAINS_FIELD_NUMBER;
     hash = (53 * hash) + getDomains();
+    if (getReplicationCount() > 0) {
+      hash = (37 * hash) + REPLICATION_FIELD_NUMBER;
+      hash = (53 * hash) + getReplicationList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -468,6 +543,7 @@
         internalGetRoutesFieldBuilder();
         internalGetServersFieldBuilder();
         internalGetPromotionsFieldBuilder();
+        internalGetReplicationFieldBuilder();
       }
     }
     @java.lang.Override
@@ -497,6 +573,13 @@
       bitField0_ = (bitField0_ & ~0x00000010);
       proxies_ = 0;
       domains_ = 0;
+      if (replicationBuilder_ == null) {
+        replication_ = java.util.Collections.emptyList();
+      } else {
+        replication_ = null;
+        replicationBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
       return this;
     }
 
@@ -548,6 +631,15 @@
       } else {
         result.promotions_ = promotionsBuilder_.build();
       }
+      if (replicationBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          replication_ = java.util.Collections.unmodifiableList(replication_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.replication_ = replication_;
+      } else {
+        result.replication_ = replicationBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragwortmoor.protocol.wire.DirectorySnapshotMessage result) {
@@ -653,6 +745,32 @@
       if (other.getDomains() != 0) {
         setDomains(other.getDomains());
       }
+      if (replicationBuilder_ == null) {
+        if (!other.replication_.isEmpty()) {
+          if (replication_.isEmpty()) {
+            replication_ = other.replication_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureReplicationIsMutable();
+            replication_.addAll(other.replication_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.replication_.isEmpty()) {
+          if (replicationBuilder_.isEmpty()) {
+            replicationBuilder_.dispose();
+            replicationBuilder_ = null;
+            replication_ = other.replication_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            replicationBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReplicationFieldBuilder() : null;
+          } else {
+            replicationBuilder_.addAllMessages(other.replication_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -732,6 +850,19 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              org.ragwortmoor.protocol.wire.GroupReplicationMessage m =
+                  input.readMessage(
+                      org.ragwortmoor.protocol.wire.GroupReplicationMessage.parser(),
+                      extensionRegistry);
+              if (replicationBuilder_ == null) {
+                ensureReplicationIsMutable();
+                replication_.add(m);
+              } else {
+                replicationBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1478,6 +1609,318 @@
       return this;
     }
 
+    private java.util.List<org.ragwortmoor.protocol.wire.GroupReplicationMessage> replication_ =
+      java.util.Collections.emptyList();
+    private void ensureReplicationIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        replication_ = new java.util.ArrayList<org.ragwortmoor.protocol.wire.GroupReplicationMessage>(replication_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.GroupReplicationMessage, org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder, org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder> replicationBuilder_;
+
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.GroupReplicationMessage> getReplicationList() {
+      if (replicationBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(replication_);
+      } else {
+        return replicationBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public int getReplicationCount() {
+      if (replicationBuilder_ == null) {
+        return replication_.size();
+      } else {
+        return replicationBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public org.ragwortmoor.protocol.wire.GroupReplicationMessage getReplication(int index) {
+      if (replicationBuilder_ == null) {
+        return replication_.get(index);
+      } else {
+        return replicationBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder setReplication(
+        int index, org.ragwortmoor.protocol.wire.GroupReplicationMessage value) {
+      if (replicationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReplicationIsMutable();
+        replication_.set(index, value);
+        onChanged();
+      } else {
+        replicationBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder setReplication(
+        int index, org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder builderForValue) {
+      if (replicationBuilder_ == null) {
+        ensureReplicationIsMutable();
+        replication_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        replicationBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder addReplication(org.ragwortmoor.protocol.wire.GroupReplicationMessage value) {
+      if (replicationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReplicationIsMutable();
+        replication_.add(value);
+        onChanged();
+      } else {
+        replicationBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder addReplication(
+        int index, org.ragwortmoor.protocol.wire.GroupReplicationMessage value) {
+      if (replicationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReplicationIsMutable();
+        replication_.add(index, value);
+        onChanged();
+      } else {
+        replicationBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder addReplication(
+        org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder builderForValue) {
+      if (replicationBuilder_ == null) {
+        ensureReplicationIsMutable();
+        replication_.add(builderForValue.build());
+        onChanged();
+      } else {
+        replicationBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder addReplication(
+        int index, org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder builderForValue) {
+      if (replicationBuilder_ == null) {
+        ensureReplicationIsMutable();
+        replication_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        replicationBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder addAllReplication(
+        java.lang.Iterable<? extends org.ragwortmoor.protocol.wire.GroupReplicationMessage> values) {
+      if (replicationBuilder_ == null) {
+        ensureReplicationIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, replication_);
+        onChanged();
+      } else {
+        replicationBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder clearReplication() {
+      if (replicationBuilder_ == null) {
+        replication_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        replicationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public Builder removeReplication(int index) {
+      if (replicationBuilder_ == null) {
+        ensureReplicationIsMutable();
+        replication_.remove(index);
+        onChanged();
+      } else {
+        replicationBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder getReplicationBuilder(
+        int index) {
+      return internalGetReplicationFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder getReplicationOrBuilder(
+        int index) {
+      if (replicationBuilder_ == null) {
+        return replication_.get(index);  } else {
+        return replicationBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public java.util.List<? extends org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder> 
+         getReplicationOrBuilderList() {
+      if (replicationBuilder_ != null) {
+        return replicationBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(replication_);
+      }
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder addReplicationBuilder() {
+      return internalGetReplicationFieldBuilder().addBuilder(
+          org.ragwortmoor.protocol.wire.GroupReplicationMessage.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder addReplicationBuilder(
+        int index) {
+      return internalGetReplicationFieldBuilder().addBuilder(
+          index, org.ragwortmoor.protocol.wire.GroupReplicationMessage.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Groups whose replication is disturbed.
+     * </pre>
+     *
+     * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder> 
+         getReplicationBuilderList() {
+      return internalGetReplicationFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.GroupReplicationMessage, org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder, org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder> 
+        internalGetReplicationFieldBuilder() {
+      if (replicationBuilder_ == null) {
+        replicationBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragwortmoor.protocol.wire.GroupReplicationMessage, org.ragwortmoor.protocol.wire.GroupReplicationMessage.Builder, org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder>(
+                replication_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        replication_ = null;
+      }
+      return replicationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectorySnapshotMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectorySnapshotMessageOrBuilder.java
@@ -96,4 +96,48 @@
    * @return The domains.
    */
   int getDomains();
+
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  java.util.List<org.ragwortmoor.protocol.wire.GroupReplicationMessage> 
+      getReplicationList();
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  org.ragwortmoor.protocol.wire.GroupReplicationMessage getReplication(int index);
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  int getReplicationCount();
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  java.util.List<? extends org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder> 
+      getReplicationOrBuilderList();
+  /**
+   * <pre>
+   * Groups whose replication is disturbed.
+   * </pre>
+   *
+   * <code>repeated .ragwortmoor.directory.GroupReplicationMessage replication = 8;</code>
+   */
+  org.ragwortmoor.protocol.wire.GroupReplicationMessageOrBuilder getReplicationOrBuilder(
+      int index);
 }
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryCommand.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryCommand.java
@@ -16,6 +16,15 @@
     /** Records that the platform has confirmed the promotion with this fencing token. */
     record ConfirmPromotion(String group, long token) implements DirectoryCommand {}
 
+    /** Records that a failover may suspend replicas of a group, or that none is suspended. */
+    record RecordSuspension(String group, boolean suspended) implements DirectoryCommand {}
+
+    /**
+     * Records that the present servers of a group hold the commits of all servers whose end was
+     * recorded at the log index or before.
+     */
+    record ConfirmReplication(String group, long index) implements DirectoryCommand {}
+
     /** Stores the size of the fleet of proxies. */
     record SetFleetSize(FleetSize size) implements DirectoryCommand {}
 
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -15,6 +15,7 @@
  * @param serversRevision log index of the last change of a server or promotion
  * @param promotions newest promotion of each group
  * @param fleet size of the fleet of proxies in the last count
+ * @param replication replication of each group that is disturbed
  */
 public record DirectoryState(
         RouteTable routes,
@@ -22,7 +23,8 @@
         Map<String, ServerRecord> servers,
         long serversRevision,
         Map<String, Promotion> promotions,
-        FleetSize fleet) {
+        FleetSize fleet,
+        Map<String, GroupReplication> replication) {
     /** The directory before the first command. */
     public static final DirectoryState EMPTY =
             new DirectoryState(
@@ -31,7 +33,8 @@
                     LinkedHashMap.empty(),
                     0,
                     LinkedHashMap.empty(),
-                    FleetSize.UNKNOWN);
+                    FleetSize.UNKNOWN,
+                    LinkedHashMap.empty());
 
     /** Maximum number of ended servers that are kept, so that late announcements are recognized. */
     private static final int MAX_GONE_SERVERS = 500;
@@ -41,7 +44,13 @@
         if (command instanceof DirectoryCommand.PutRoutes put) {
             return put.table().version() > routes.version()
                     ? new DirectoryState(
-                            put.table(), index, servers, serversRevision, promotions, fleet)
+                            put.table(),
+                            index,
+                            servers,
+                            serversRevision,
+                            promotions,
+                            fleet,
+                            replication)
                     : this;
         }
         if (command instanceof DirectoryCommand.PutServer put) {
@@ -61,7 +70,23 @@
         }
         if (command instanceof DirectoryCommand.SetFleetSize set) {
             return new DirectoryState(
-                    routes, routesRevision, servers, serversRevision, promotions, set.size());
+                    routes,
+                    routesRevision,
+                    servers,
+                    serversRevision,
+                    promotions,
+                    set.size(),
+                    replication);
+        }
+        if (command instanceof DirectoryCommand.RecordSuspension suspension) {
+            return withReplication(
+                    suspension.group(),
+                    replication(suspension.group()).withSuspended(suspension.suspended()));
+        }
+        if (command instanceof DirectoryCommand.ConfirmReplication confirmation) {
+            return withReplication(
+                    confirmation.group(),
+                    replication(confirmation.group()).withConfirmedThrough(confirmation.index()));
         }
         return this;
     }
@@ -73,7 +98,26 @@
                 servers,
                 changedServersRevision,
                 promotions.put(promotion.group(), promotion),
-                fleet);
+                fleet,
+                replication);
+    }
+
+    private DirectoryState withReplication(String group, GroupReplication changed) {
+        return new DirectoryState(
+                routes,
+                routesRevision,
+                servers,
+                serversRevision,
+                promotions,
+                fleet,
+                changed.equals(GroupReplication.UNDISTURBED)
+                        ? replication.remove(group)
+                        : replication.put(group, changed));
+    }
+
+    /** Returns what is recorded of the replication of a group. */
+    public GroupReplication replication(String group) {
+        return replication.getOrElse(group, GroupReplication.UNDISTURBED);
     }
 
     private DirectoryState putServer(ServerRecord server, long index) {
@@ -100,7 +144,7 @@
         Map<String, Promotion> kept =
                 promotions.mapValues(
                         p -> restarted && p.server().equals(server.id()) ? p.withoutServer() : p);
-        return new DirectoryState(routes, routesRevision, changed, index, kept, fleet);
+        return new DirectoryState(routes, routesRevision, changed, index, kept, fleet, replication);
     }
 
     /** Returns the servers of a group that have not ended. */
