Continue a promotion that was ordered and may not have been carried out

The primary was lost while the platform was down; the directory ordered a promotion, called in vain, and all its processes were killed. Afterwards no promotion was ordered again, although two of three servers ran and held everything.

Cause: an order is taken for a promotion as soon as it is committed. After the restart nothing repeated the call where the platform checks fencing tokens. The ordered server counted as the primary that is to be replaced, so it was no candidate; the old primary, which was dead, was one, and a survey that needs its answer never ended. Without a restart the same state followed when the calls were given up. Without synchronous replicas the ordered server was no candidate either, even if it was the only one left.

In virtual time these failed before: aPromotionThatWasOrderedAndNotCarriedOutIsOrderedAgain, aPromotionIsCarriedOutAfterALongOutageOfThePlatform, theServerOfAnOrderThatWasNotCarriedOutIsACandidate, aRejectedReplicaIsAskedForItsPosition.

Why this works: the server of an order without a confirmation is a replica like the others: it is asked, and what it answers decides. If it leads, the order is confirmed. If another server leads, the directory follows that one. If none leads, a promotion is ordered anew. An answer that arrives after the calls have ended counts, and reports of proxies from before the order no longer end the calls.

--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -33,14 +33,17 @@
     private final PrimaryFailureDetector failureDetector = new PrimaryFailureDetector();
     private final PromotionTrigger trigger = new PromotionTrigger();
     private final PromotionCall call = new PromotionCall();
+    private final PrimaryConfirmation confirmation = new PrimaryConfirmation();
     private final Set<String> rejectedServers = new HashSet<>();
     private Phase phase = Phase.WATCHING;
     private long phaseDeadline;
     private String reason = "";
     private ReplacedPrimary replaced = new ReplacedPrimary(Option.none(), 0);
     private FailoverAttempt attempt = new AsynchronousAttempt(replaced, 0);
+    private String orderedServer = "";
     private int attemptedSyncReplicas;
     private long nextReportAt;
+    private boolean newlyElected;
     private FailoverView view;
 
     GroupFailover(String group, PrimaryLeaseTable leases) {
@@ -58,7 +61,9 @@
         failureDetector.clear();
         trigger.reset();
         rejectedServers.clear();
+        confirmation.reset(now);
         call.reset();
+        newlyElected = true;
         nextReportAt = now;
         phase = Phase.WATCHING;
         // Without fencing by the platform, an earlier leader's call must not arrive after ours.
@@ -72,6 +77,12 @@
                 ConnectionPlan.of(limits.maxConnections(), fleet.proxies(), fleet.domains())
                         .observers(fleet.proxies(), fleet.domains());
         view = view(state, limits.syncReplicas(), observers);
+        if (newlyElected) {
+            newlyElected = false;
+            view.unconfirmedOrder()
+                    .filter(p -> !leases.required() && view.exclusiveCalls())
+                    .forEach(p -> call.inherit(p.server(), now));
+        }
         return advance(now);
     }
 
@@ -117,7 +128,11 @@
             reason = "the promotion is not confirmed";
             return order(primary.get().id(), now);
         }
-        replaced = new ReplacedPrimary(primary, now);
+        // The server of an order that may not have been carried out is a replica like the others.
+        replaced =
+                new ReplacedPrimary(
+                        primary.filter(p -> leases.required() || view.unconfirmedOrder().isEmpty()),
+                        now);
         view = view(view.state(), view.syncReplicas(), view.observers());
         boolean hasCandidate = view.members().hasCandidate();
         if (!hasCandidate) {
@@ -126,7 +141,7 @@
         }
         reason = trigger.reason(view, rejectedServers, now);
         if (reason.isEmpty()) {
-            return List.of();
+            return confirmation.tick(view, now);
         }
         return hasCandidate ? startAttempt(now) : List.of();
     }
@@ -225,12 +240,20 @@
     private List<FailoverAction> order(String server, long now) {
         phase = Phase.ORDERING;
         phaseDeadline = now + FailoverSettings.CALL_RETRY_NANOS;
+        orderedServer = server;
         return List.of(new FailoverAction.OrderPromotion(group, server, reason));
     }
 
     /** Starts the calls to the platform once the order is committed. */
     List<FailoverAction> orderCommitted(String server, long fencingToken, long now) {
+        boolean awaited = phase == Phase.ORDERING && server.equals(orderedServer);
+        if (view.exclusiveCalls() && !leases.required() && !awaited) {
+            // Commits may have been acknowledged since the server was chosen.
+            return List.of();
+        }
         phase = Phase.CALLING;
+        // Reports from before the order do not show that the promotion was carried out.
+        failureDetector.clear();
         call.start(server, fencingToken, now);
         return callIfDue(now);
     }
@@ -242,8 +265,8 @@
     private List<FailoverAction> retryCall(long now) {
         boolean leaderFound = !leases.required() && view.majorityReachesLeader(now);
         if (call.calls() > 0 && leaderFound) {
-            phase = Phase.SETTLING;
-            phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
+            phase = view.exclusiveCalls() ? Phase.WATCHING : Phase.SETTLING;
+            phaseDeadline = now + (view.exclusiveCalls() ? 0 : FailoverSettings.SETTLING_NANOS);
             return List.of();
         }
         return callIfDue(now);
@@ -265,13 +288,14 @@
 
     /** Records the platform's answer to a call and returns the actions that follow from it. */
     List<FailoverAction> recordCallOutcome(long calledToken, CallOutcome outcome, long now) {
-        if (phase != Phase.CALLING || calledToken != call.token()) {
+        if (calledToken != call.token()) {
             return List.of();
         }
         if (outcome == CallOutcome.UNKNOWN) {
             call.recordUnanswered(now);
             return List.of();
         }
+        call.recordAnswered();
         if (outcome == CallOutcome.ACCEPTED) {
             phase = Phase.SETTLING;
             phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
@@ -279,9 +303,11 @@
             leases.resume(group);
             return List.of(new FailoverAction.ConfirmPromotion(group, calledToken));
         }
-        rejectedServers.add(call.server());
-        phase = Phase.WATCHING;
-        phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
+        if (phase == Phase.CALLING) {
+            rejectedServers.add(call.server());
+            phase = Phase.WATCHING;
+            phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
+        }
         return List.of();
     }
 
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryConfirmation.java
@@ -0,0 +1,37 @@
+package org.ragwortmoor.coordination.directory;
+
+import io.vavr.control.Option;
+import java.util.List;
+import org.ragwortmoor.state.directory.Promotion;
+
+/**
+ * Records in the directory, while the primary of a group needs no replacement, what the proxies and
+ * the servers show: that a promotion without an answer was carried out.
+ */
+final class PrimaryConfirmation {
+    private long nextConfirmationAt;
+
+    /** Discards the state of an earlier leadership. */
+    void reset(long now) {
+        nextConfirmationAt = now;
+    }
+
+    /** Returns the actions that are due. */
+    List<FailoverAction> tick(FailoverView view, long now) {
+        // Under leases the proxies reach no primary before the platform has confirmed it.
+        Option<Promotion> carriedOut =
+                view.unconfirmedOrder()
+                        .filter(
+                                p ->
+                                        !view.leases().required()
+                                                && view.failureDetector()
+                                                        .majorityReaches(
+                                                                p.server(), view.observers(), now));
+        if (carriedOut.isDefined() && now - nextConfirmationAt >= 0) {
+            nextConfirmationAt = now + FailoverSettings.RECORD_RETRY_NANOS;
+            return List.of(
+                    new FailoverAction.ConfirmPromotion(view.group(), carriedOut.get().token()));
+        }
+        return List.of();
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PromotionCall.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PromotionCall.java
@@ -11,14 +11,22 @@
     private long token;
     private int calls;
     private long nextCallAt;
+    private boolean inFlight;
     private Option<Long> unansweredAt = Option.none();
     private String unansweredServer = "";
 
     /** Forgets the calls of an earlier leadership. */
     void reset() {
+        inFlight = false;
         unansweredAt = Option.none();
     }
 
+    /** Assumes that an earlier leader has called for its order without an answer. */
+    void inherit(String orderedServer, long now) {
+        unansweredAt = Option.some(now);
+        unansweredServer = orderedServer;
+    }
+
     /** Starts to call for a new order. */
     void start(String orderedServer, long orderToken, long now) {
         server = orderedServer;
@@ -46,20 +54,34 @@
     /** Returns the next call, which is due. */
     FailoverAction next(String group, long now) {
         calls++;
+        inFlight = true;
         nextCallAt = now + FailoverSettings.CALL_RETRY_NANOS;
         return new FailoverAction.CallPromotion(group, server, token);
     }
 
+    /** Records that the platform has accepted or rejected a call. */
+    void recordAnswered() {
+        inFlight = false;
+    }
+
     /** Records that the outcome of a call is unknown. */
     void recordUnanswered(long now) {
+        inFlight = false;
         unansweredAt = Option.some(now);
         unansweredServer = server;
         nextCallAt = now + FailoverSettings.CALL_BACKOFF_NANOS;
     }
 
+    /** Returns whether an unanswered call may still be carried out. */
+    boolean delayedCallPossible(long now) {
+        return inFlight
+                || unansweredAt.exists(at -> now - at < FailoverSettings.MAX_CALL_DELAY_NANOS);
+    }
+
     /** Returns whether an unanswered call for another server may still be carried out. */
     boolean delayedCallPossible(String otherThan, long now) {
-        return !otherThan.equals(unansweredServer)
-                && unansweredAt.exists(at -> now - at < FailoverSettings.MAX_CALL_DELAY_NANOS);
+        boolean sameServer =
+                inFlight ? otherThan.equals(server) : otherThan.equals(unansweredServer);
+        return !sameServer && delayedCallPossible(now);
     }
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.ragwortmoor.state.directory.ServerRecord;
 
 /** Single faults and pairs that a group with synchronous replicas has met, in virtual time. */
 class SynchronousFailoverTest {
@@ -61,6 +62,65 @@
         assertThat(server(2).primary).isTrue();
     }
 
+    /** review/2, the same for a replica whose promotion the platform has rejected before. */
+    @Test
+    void aRejectedReplicaIsAskedForItsPosition() {
+        simulation = new FailoverSimulation(1, 4, 1);
+        simulation.run(3_000);
+        simulation.platform().reject(server(2).id);
+        server(3).deaf = true;
+        server(4).deaf = true;
+        simulation.run(1_000);
+        crash(1);
+        simulation.run(5_000);
+        expectNothingLost();
+        restart(1, true);
+        expectWritesWithin(RECOVERY_MILLIS);
+    }
+
+    /** review/3: the server of an order that was never carried out was no candidate any more. */
+    @Test
+    void aPromotionThatWasOrderedAndNotCarriedOutIsOrderedAgain() {
+        simulation.run(3_000);
+        simulation.platform().set(true, 0, 0);
+        crash(1);
+        simulation.run(1_500);
+        assertThat(simulation.state().promotions().get("g")).isNotEmpty();
+        simulation.changeLeader(2_000);
+        simulation.run(1_000);
+        simulation.platform().set(false, 0, 0);
+        expectWritesWithin(RECOVERY_MILLIS);
+    }
+
+    /** review/3 without the end of the directory: the calls were given up. */
+    @Test
+    void aPromotionIsCarriedOutAfterALongOutageOfThePlatform() {
+        simulation.run(3_000);
+        simulation.platform().set(true, 0, 0);
+        crash(1);
+        simulation.run(20_000);
+        simulation.platform().set(false, 0, 0);
+        expectWritesWithin(5_000);
+    }
+
+    /** The same without synchronous replicas, where only the ordered server is left. */
+    @Test
+    void theServerOfAnOrderThatWasNotCarriedOutIsACandidate() {
+        simulation = new FailoverSimulation(1, 3, 0);
+        simulation.run(3_000);
+        simulation.platform().set(true, 0, 0);
+        crash(1);
+        simulation.run(1_500);
+        String ordered = simulation.state().promotions().get("g").get().server();
+        simulation.servers().all().stream()
+                .filter(s -> !s.id.equals(ordered))
+                .forEach(simulation.servers()::crash);
+        simulation.changeLeader(2_000);
+        simulation.run(1_000);
+        simulation.platform().set(false, 0, 0);
+        expectWritesWithin(RECOVERY_MILLIS);
+    }
+
     @Test
     void aSurveyThatCannotSucceedLeavesThePrimaryAlone() {
         simulation.run(3_000);
@@ -89,4 +149,18 @@
         assertThat(server(2).primary).as(simulation.describe()).isTrue();
         expectNothingLost();
     }
+
+    @Test
+    void theDirectoryFollowsAServerThatLeadsAfterARestart() {
+        simulation.run(3_000);
+        drain(1);
+        simulation.run(3_000);
+        VirtualServers.Server primary = simulation.servers().primary();
+        simulation.servers().crash(primary);
+        simulation.run(300);
+        simulation.servers().restart(primary, true);
+        simulation.announce(primary);
+        expectWritesWithin(5_000);
+        assertThat(simulation.state().primary("g").map(ServerRecord::id)).contains(primary.id);
+    }
 }
