Give the suspension of replicas an owner that ends it

Two replicas were suspended and stayed so.

Cause: a survey with synchronous replicas suspended them, and only the end of a survey without a result resumed them. After a promotion the platform ends the suspension, but not where the server that is "promoted" led already. A lost instruction to resume was not repeated, calls that were given up resumed nothing, and a new leader of the directory did not know of suspended replicas.

In virtual time replicasReceiveAgainAfterAQuickRestartOfAPromotedPrimary and aNewLeaderEndsTheSuspensionOfItsPredecessor failed before.

Why this works: before replicas are suspended, the directory records it in the replicated log, and it removes the record when each server of the group has confirmed that it receives. So every way out of an attempt, an order and a call, and a new leader, ends in one place: ReplicationSuspension. It is released when the promoted server leads, when the old primary still leads and no call can be carried out any more, or when an attempt has ended without an order. Until then servers that start again are suspended again. No suspension begins while an instruction to resume may still arrive.

A suspension is given a term far above the highest that is known: one that is not above the term of the primary has no effect, and the servers that answer may have missed promotions.

--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverCoordinator.java
@@ -55,7 +55,7 @@
 
     /** Records the status of a surveyed server. */
     public void recordStatus(ServerRecord server, ServerStatus status, long now) {
-        group(server.group()).recordStatus(server, status);
+        group(server.group()).recordStatus(server, status, now);
     }
 
     /** Records the last log position of a primary that has stepped down. */
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverView.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverView.java
@@ -42,6 +42,6 @@
      * otherwise replace the server promoted since, and lose what that one has acknowledged.
      */
     boolean exclusiveCalls() {
-        return leases.required() || syncReplicas > 0;
+        return leases.required() || syncReplicas > 0 || replication().suspended();
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -33,6 +33,7 @@
     private final PrimaryFailureDetector failureDetector = new PrimaryFailureDetector();
     private final PromotionTrigger trigger = new PromotionTrigger();
     private final PromotionCall call = new PromotionCall();
+    private final ReplicationSuspension suspension;
     private final PrimaryConfirmation confirmation = new PrimaryConfirmation();
     private final Set<String> rejectedServers = new HashSet<>();
     private Phase phase = Phase.WATCHING;
@@ -43,12 +44,14 @@
     private String orderedServer = "";
     private int attemptedSyncReplicas;
     private long nextReportAt;
+    private long nextSettlingSurveyAt;
     private boolean newlyElected;
     private FailoverView view;
 
     GroupFailover(String group, PrimaryLeaseTable leases) {
         this.group = group;
         this.leases = leases;
+        this.suspension = new ReplicationSuspension(group);
         this.view = view(DirectoryState.EMPTY, 0, 0);
     }
 
@@ -59,8 +62,9 @@
     /** Discards the state of an earlier leadership. */
     void reset(long now) {
         failureDetector.clear();
-        trigger.reset();
+        trigger.reset(now);
         rejectedServers.clear();
+        suspension.reset(now);
         confirmation.reset(now);
         call.reset();
         newlyElected = true;
@@ -83,7 +87,18 @@
                     .filter(p -> !leases.required() && view.exclusiveCalls())
                     .forEach(p -> call.inherit(p.server(), now));
         }
-        return advance(now);
+        List<FailoverAction> actions = new ArrayList<>(advance(now));
+        if (view.replication().suspended()) {
+            boolean promotes =
+                    phase == Phase.ORDERING
+                            || phase == Phase.CALLING
+                            || phase == Phase.SETTLING
+                            || call.delayedCallPossible(now);
+            List<ServerRecord> servers = view.members().servers();
+            actions.addAll(promotes ? suspension.keep(servers, now) : List.of());
+            actions.addAll(suspension.tick(servers, now));
+        }
+        return actions;
     }
 
     private FailoverView view(DirectoryState state, int syncReplicas, int observers) {
@@ -139,11 +154,14 @@
             // A server that was rejected may have recovered since.
             rejectedServers.clear();
         }
-        reason = trigger.reason(view, rejectedServers, now);
+        reason = trigger.reason(view, rejectedServers, suspension.releasing(), now);
         if (reason.isEmpty()) {
             return confirmation.tick(view, now);
         }
-        return hasCandidate ? startAttempt(now) : List.of();
+        if (view.syncReplicas() > 0 && !suspension.quiet(now)) {
+            return List.of();
+        }
+        return hasCandidate || view.replication().suspended() ? startAttempt(now) : List.of();
     }
 
     private boolean mayPromoteAgain(Option<ServerRecord> primary, long now) {
@@ -174,6 +192,9 @@
         }
         FailoverAttempt.Result result = attempt.tick(view, now);
         if (result instanceof FailoverAttempt.Result.Pending pending) {
+            if (view.replication().suspended() && attempt.suspends()) {
+                suspension.hold();
+            }
             return pending.actions();
         }
         if (result instanceof FailoverAttempt.Result.Promote promotion) {
@@ -194,16 +215,14 @@
         return endAttempt(FailoverSettings.CALL_BACKOFF_NANOS, now);
     }
 
-    /** Ends an attempt without a promotion, and resumes replication. */
+    /** Ends an attempt without a promotion, and releases the suspension if none can follow. */
     private List<FailoverAction> endAttempt(long backoffNanos, long now) {
         phase = Phase.WATCHING;
         phaseDeadline = now + backoffNanos;
-        if (!attempt.suspends()) {
-            return List.of();
+        if (!call.delayedCallPossible(now)) {
+            suspension.release(now);
         }
-        return view.members().servers().stream()
-                .map(s -> (FailoverAction) new FailoverAction.ResumeReplication(s))
-                .toList();
+        return List.of();
     }
 
     private List<FailoverAction> promote(FailoverAttempt.Result.Promote promotion, long now) {
@@ -232,6 +251,7 @@
         }
         phase = Phase.WATCHING;
         phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
+        suspension.release(now);
         return view.unconfirmedOrder()
                 .map(p -> (FailoverAction) new FailoverAction.ConfirmPromotion(group, p.token()))
                 .toJavaList();
@@ -299,6 +319,7 @@
         if (outcome == CallOutcome.ACCEPTED) {
             phase = Phase.SETTLING;
             phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
+            nextSettlingSurveyAt = now;
             failureDetector.clear();
             leases.resume(group);
             return List.of(new FailoverAction.ConfirmPromotion(group, calledToken));
@@ -311,18 +332,37 @@
         return List.of();
     }
 
+    /** Waits until the promotion is carried out; replicas are suspended until then. */
     private List<FailoverAction> settle(long now) {
         if (now - phaseDeadline >= 0) {
             phase = Phase.WATCHING;
             rejectedServers.clear();
+            return List.of();
         }
-        return List.of();
+        boolean held = view.replication().suspended() && !suspension.releasing();
+        if (!held || now - nextSettlingSurveyAt < 0) {
+            return List.of();
+        }
+        nextSettlingSurveyAt = now + FailoverSettings.SURVEY_INTERVAL_NANOS;
+        return view.members().servers().stream()
+                .filter(s -> s.id().equals(call.server()))
+                .map(s -> (FailoverAction) new FailoverAction.Survey(s))
+                .toList();
     }
 
     /** Records the status of a server that was asked or instructed. */
-    void recordStatus(ServerRecord server, ServerStatus status) {
-        if (phase == Phase.ATTEMPTING) {
-            attempt.recordStatus(server, status);
+    void recordStatus(ServerRecord server, ServerStatus status, long now) {
+        suspension.record(server, status);
+        switch (phase) {
+            case ATTEMPTING -> attempt.recordStatus(server, status);
+            case SETTLING -> {
+                if (status.primary() && server.id().equals(call.server())) {
+                    suspension.release(now);
+                }
+            }
+            default -> {
+                // The status was asked for before the order; the choice is made.
+            }
         }
     }
 
@@ -344,6 +384,8 @@
                 + call.token()
                 + " replaced="
                 + replaced.server().map(ServerRecord::id).getOrElse("")
+                + " replication="
+                + view.replication()
                 + " leases="
                 + leases.holders(group, now)
                 + " reason="
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PromotionTrigger.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PromotionTrigger.java
@@ -9,24 +9,31 @@
 /** Decides whether a server of a group has to be promoted, and why. */
 final class PromotionTrigger {
     private Option<Long> noPrimarySince = Option.none();
+    private long electedAt;
 
     /** Discards the state of an earlier leadership. */
-    void reset() {
+    void reset(long now) {
         noPrimarySince = Option.none();
+        electedAt = now;
     }
 
     /**
      * Returns why a server has to be promoted, or an empty string if none has.
      *
      * @param rejected ids of the servers whose promotion the platform has rejected
+     * @param releasing whether the end of the last failover was found
      */
-    String reason(FailoverView view, Set<String> rejected, long now) {
+    String reason(FailoverView view, Set<String> rejected, boolean releasing, long now) {
         Option<ServerRecord> primary = view.state().primary(view.group());
         boolean primaryRejected = primary.exists(p -> rejected.contains(p.id()));
         if (view.leases().required() && view.unconfirmedOrder().isDefined() && primaryRejected) {
             return "the promotion of " + primary.get().id() + " was rejected";
         }
-        return lossOfPrimary(view, primary, now);
+        String found = lossOfPrimary(view, primary, now);
+        boolean settled = now - electedAt >= FailoverSettings.INHERITED_FAILOVER_NANOS;
+        return found.isEmpty() && view.replication().suspended() && !releasing && settled
+                ? "an earlier failover has not ended"
+                : found;
     }
 
     private String lossOfPrimary(FailoverView view, Option<ServerRecord> primary, long now) {
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/SynchronousAttempt.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/SynchronousAttempt.java
@@ -16,6 +16,7 @@
 final class SynchronousAttempt implements FailoverAttempt {
     private enum Step {
         INSPECT,
+        RECORD,
         HAND_OVER,
         SUSPEND
     }
@@ -48,6 +49,7 @@
         }
         return switch (step) {
             case INSPECT -> inspect(view, now);
+            case RECORD -> awaitRecord(view, now);
             case HAND_OVER -> handOver(view, now);
             case SUSPEND -> suspend(view, now);
         };
@@ -82,7 +84,12 @@
                     "commits may be held only by servers that do not answer; positions "
                             + survey.describe(servers));
         }
-        return replace(view, now);
+        step = Step.RECORD;
+        stepDeadline = now + FailoverSettings.RECORD_RETRY_NANOS;
+        return view.replication().suspended()
+                ? awaitRecord(view, now)
+                : new Result.Pending(
+                        List.of(new FailoverAction.RecordSuspension(view.group(), true)));
     }
 
     /** Returns whether a replica has received what the primary had when it was first asked. */
@@ -99,7 +106,10 @@
                 .anyMatch(m -> survey.reached(m.server(), position));
     }
 
-    private Result replace(FailoverView view, long now) {
+    private Result awaitRecord(FailoverView view, long now) {
+        if (!view.replication().suspended()) {
+            return timedOut(now) ? new Result.Abandon() : new Result.Pending(List.of());
+        }
         nextSurveyAt = now;
         if (replaced.leaves()) {
             step = Step.HAND_OVER;
@@ -168,9 +178,7 @@
             for (ServerRecord server : suspended.unanswered(view.members().suspended())) {
                 boolean leads = replaced.is(server.id()) && replaced.steppedDownAt().isEmpty();
                 if (!leads) {
-                    actions.add(
-                            new FailoverAction.SuspendReplication(
-                                    server, highestTerm + FailoverSettings.MISSED_PROMOTIONS));
+                    actions.add(ReplicationSuspension.suspend(server, highestTerm));
                 }
             }
         }
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverCoordinatorTest.java
@@ -189,6 +189,8 @@
         tick(1_000);
         recordPosition("s2", new Position(1, 90));
         recordPosition("s3", new Position(1, 90));
+        assertThat(tick(20)).containsExactly(new FailoverAction.RecordSuspension("g", true));
+        apply(new DirectoryCommand.RecordSuspension("g", true));
         List<FailoverAction.SuspendReplication> suspensions =
                 ofType(tick(20), FailoverAction.SuspendReplication.class);
         assertThat(suspensions).extracting(s -> s.server().id()).containsExactly("s2", "s3");
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
@@ -121,6 +121,43 @@
         expectWritesWithin(RECOVERY_MILLIS);
     }
 
+    /** review/4: replicas stayed suspended after the confirmation of a primary that led already. */
+    @Test
+    void replicasReceiveAgainAfterAQuickRestartOfAPromotedPrimary() {
+        simulation.run(3_000);
+        drain(1);
+        simulation.run(3_000);
+        VirtualServers.Server primary = simulation.servers().primary();
+        assertThat(primary).isNotEqualTo(server(1));
+        simulation.deregister(server(1));
+        crash(1);
+        restart(1, true);
+        simulation.run(3_000);
+        simulation.servers().crash(primary);
+        simulation.changeLeader(1_500);
+        simulation.run(1_000);
+        simulation.servers().restart(primary, false);
+        simulation.announce(primary);
+        expectWritesWithin(RECOVERY_MILLIS);
+        assertThat(simulation.state().replication("g").suspended()).isFalse();
+    }
+
+    @Test
+    void aNewLeaderEndsTheSuspensionOfItsPredecessor() {
+        simulation.run(3_000);
+        simulation.platform().set(true, 0, 0);
+        crash(1);
+        simulation.run(1_500);
+        assertThat(simulation.state().replication("g").suspended()).isTrue();
+        simulation.changeLeader(500);
+        simulation.run(600);
+        restart(1, false);
+        simulation.platform().set(false, 0, 0);
+        // The call of the predecessor may be carried out for 12 s.
+        expectWritesWithin(2 * RECOVERY_MILLIS);
+        assertThat(simulation.servers().all()).noneMatch(s -> s.status().suspended());
+    }
+
     @Test
     void aSurveyThatCannotSucceedLeavesThePrimaryAlone() {
         simulation.run(3_000);
