--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -354,6 +354,7 @@
     void recordStatus(ServerRecord server, ServerStatus status, long now) {
         suspension.record(server, status);
         switch (phase) {
+            case WATCHING -> confirmation.record(server, status);
             case ATTEMPTING -> attempt.recordStatus(server, status);
             case SETTLING -> {
                 if (status.primary() && server.id().equals(call.server())) {
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryConfirmation.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryConfirmation.java
@@ -3,19 +3,27 @@
 import io.vavr.control.Option;
 import java.util.List;
 import org.ragwortmoor.state.directory.Promotion;
+import org.ragwortmoor.state.directory.ServerRecord;
 
 /**
  * Records in the directory, while the primary of a group needs no replacement, what the proxies and
- * the servers show: that a promotion without an answer was carried out.
+ * the servers show: that a promotion without an answer was carried out, and that the commits of
+ * ended servers are held by others.
  */
 final class PrimaryConfirmation {
+    private final DepartureCheck departureCheck = new DepartureCheck();
     private long nextConfirmationAt;
 
     /** Discards the state of an earlier leadership. */
     void reset(long now) {
+        departureCheck.reset();
         nextConfirmationAt = now;
     }
 
+    void record(ServerRecord server, ServerStatus status) {
+        departureCheck.record(server, status);
+    }
+
     /** Returns the actions that are due. */
     List<FailoverAction> tick(FailoverView view, long now) {
         // Under leases the proxies reach no primary before the platform has confirmed it.
@@ -32,6 +40,8 @@
             return List.of(
                     new FailoverAction.ConfirmPromotion(view.group(), carriedOut.get().token()));
         }
-        return List.of();
+        return view.syncReplicas() > 0
+                ? departureCheck.tick(view.group(), view.members(), view.syncReplicas(), now)
+                : List.of();
     }
 }
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -144,7 +144,35 @@
         Map<String, Promotion> kept =
                 promotions.mapValues(
                         p -> restarted && p.server().equals(server.id()) ? p.withoutServer() : p);
-        return new DirectoryState(routes, routesRevision, changed, index, kept, fleet, replication);
+        DirectoryState stored =
+                new DirectoryState(
+                        routes, routesRevision, changed, index, kept, fleet, replication);
+        return stored.withDeparturesSince(this, index);
+    }
+
+    /** Records which incarnations of servers have ended since {@code before}. */
+    private DirectoryState withDeparturesSince(DirectoryState before, long index) {
+        DirectoryState result = this;
+        for (ServerRecord earlier : before.servers.values()) {
+            Option<ServerRecord> now = servers.get(earlier.id());
+            boolean ended =
+                    earlier.state() != ServerState.GONE
+                            && now.exists(
+                                    s ->
+                                            s.state() == ServerState.GONE
+                                                    || s.startedAtMillis()
+                                                            != earlier.startedAtMillis());
+            if (ended && routes.group(earlier.group()).exists(g -> g.syncReplicas() > 0)) {
+                Departure departure =
+                        new Departure(
+                                earlier.id(), earlier.startedAtMillis(), earlier.address(), index);
+                result =
+                        result.withReplication(
+                                earlier.group(),
+                                result.replication(earlier.group()).withDeparture(departure));
+            }
+        }
+        return result;
     }
 
     /** Returns the servers of a group that have not ended. */
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/GroupMembersTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/GroupMembersTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.ServerRecord;
@@ -111,4 +112,26 @@
         assertThat(ids(members("s1").surveyed(0))).containsExactly("s3");
         assertThat(members("s1").hasCandidate()).isTrue();
     }
+
+    @Test
+    void aServerThatHasEndedCountsUntilItsCommitsAreHeldByOthers() {
+        announce("s1", 1, "a:1", ServerState.READY);
+        announce("s2", 1, "a:2", ServerState.READY);
+        announce("s3", 1, "a:3", ServerState.READY);
+        announce("s3", 1, "a:3", ServerState.GONE);
+        assertThat(members("s1").holders(Map.of())).isEqualTo(3);
+        state = state.apply(new DirectoryCommand.ConfirmReplication("g", index), ++index);
+        assertThat(members("s1").holders(Map.of())).isEqualTo(2);
+    }
+
+    @Test
+    void aServerAtTheAddressOfOneThatHasEndedStandsForIt() {
+        announce("s1", 1, "a:1", ServerState.READY);
+        announce("s2", 1, "a:2", ServerState.READY);
+        announce("s3", 2, "a:2", ServerState.READY);
+        assertThat(members("s1").holders(Map.of())).isEqualTo(2);
+        assertThat(members("s1").holders(Map.of("s3", new Position(1, 5)))).isEqualTo(2);
+        // It has started without the log.
+        assertThat(members("s1").holders(Map.of("s3", Position.ZERO))).isEqualTo(3);
+    }
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
@@ -172,6 +172,39 @@
         expectWritesWithin(1_000);
     }
 
+    /** The commits that only an ended server and the primary held would be lost. */
+    @Test
+    void theCommitsOfAServerThatHasEndedAreWaitedFor() {
+        simulation.run(3_000);
+        drain(3);
+        server(2).deaf = true;
+        simulation.run(1_000);
+        simulation.deregister(server(3));
+        crash(3);
+        simulation.run(200);
+        crash(1);
+        server(2).deaf = false;
+        simulation.run(5_000);
+        expectNothingLost();
+        restart(1, true);
+        expectWritesWithin(RECOVERY_MILLIS);
+    }
+
+    @Test
+    void aServerThatHasEndedIsNotNeededOnceOthersHoldItsCommits() {
+        simulation.run(3_000);
+        drain(3);
+        simulation.run(1_000);
+        simulation.deregister(server(3));
+        crash(3);
+        simulation.run(3_000);
+        assertThat(simulation.state().replication("g").departures()).isEmpty();
+        crash(1);
+        simulation.run(3_000);
+        assertThat(server(2).primary).as(simulation.describe()).isTrue();
+        expectNothingLost();
+    }
+
     @Test
     void aPrimaryThatLeavesGoesOnUntilAReplicaReceivesItsCommits() {
         simulation.run(3_000);
