Record the end of servers that have announced their leaving and fall silent

A server that had left before had not got through with its last message, so it counted as one that may hold acknowledged commits for good.

Cause: only the server itself could report its end.

Change: 30 s after the announcement of its leaving, a server of a group with synchronous replicas that does not answer five surveys is recorded as ended. It then counts until others are known to hold its commits, as any other ended server.

Evidence: SynchronousFailoverTest.aServerThatHasAnnouncedItsLeavingAndIsSilentHasEnded fails without the detector. In FailoverSimulationTest a quarter of the servers now end without a message.

--- a/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
+++ b/app/src/main/java/org/ragwortmoor/directory/PromotionExecutor.java
@@ -15,6 +15,7 @@
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.state.directory.ServerState;
 import org.ragwortmoor.transport.StatementClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -167,6 +168,13 @@
             host.propose(
                     new DirectoryCommand.ConfirmReplication(
                             confirmation.group(), confirmation.index()));
+        } else if (action instanceof FailoverAction.RecordEnd end) {
+            LOG.info(
+                    "event=server_ended server={} group={} reason=\"it has announced that it"
+                            + " leaves and does not answer\"",
+                    end.server().id(),
+                    end.server().group());
+            host.propose(new DirectoryCommand.PutServer(end.server().withState(ServerState.GONE)));
         } else if (action instanceof FailoverAction.ReportBlocked blocked) {
             LOG.warn(
                     "event=promotion_blocked group={} reason=\"{}\" remedy=\"{}\"",
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverAction.java
@@ -41,6 +41,9 @@
      */
     record ConfirmReplication(String group, long index) implements FailoverAction {}
 
+    /** Records in the replicated log that a server has ended. */
+    record RecordEnd(ServerRecord server) implements FailoverAction {}
+
     /** Reports that no server can be promoted without the risk of losing acknowledged commits. */
     record ReportBlocked(String group, String reason) implements FailoverAction {}
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverSettings.java
@@ -67,6 +67,15 @@
     /** Interval between two checks whether the commits of servers that have ended are held. */
     static final long DEPARTURE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /**
+     * Time after which a server that has announced that it leaves has ended, unless it answers.
+     * Servers go on for seconds after the announcement, and for more if nobody acknowledges it.
+     */
+    static final long MAX_LEAVING_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    /** Number of surveys without an answer after which such a server has ended. */
+    static final int SURVEYS_OF_LEAVER = 5;
+
     /** Pause after a survey in which too few servers have answered for a promotion. */
     static final long BLOCKED_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryConfirmation.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryConfirmation.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.coordination.directory;
 
 import io.vavr.control.Option;
+import java.util.ArrayList;
 import java.util.List;
 import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
@@ -12,16 +13,19 @@
  */
 final class PrimaryConfirmation {
     private final DepartureCheck departureCheck = new DepartureCheck();
+    private final SilentLeaverDetector leaverDetector = new SilentLeaverDetector();
     private long nextConfirmationAt;
 
     /** Discards the state of an earlier leadership. */
     void reset(long now) {
         departureCheck.reset();
+        leaverDetector.reset();
         nextConfirmationAt = now;
     }
 
     void record(ServerRecord server, ServerStatus status) {
         departureCheck.record(server, status);
+        leaverDetector.record(server);
     }
 
     /** Returns the actions that are due. */
@@ -40,8 +44,12 @@
             return List.of(
                     new FailoverAction.ConfirmPromotion(view.group(), carriedOut.get().token()));
         }
-        return view.syncReplicas() > 0
-                ? departureCheck.tick(view.group(), view.members(), view.syncReplicas(), now)
-                : List.of();
+        if (view.syncReplicas() == 0) {
+            return List.of();
+        }
+        List<FailoverAction> actions =
+                new ArrayList<>(leaverDetector.tick(view.members().servers(), now));
+        actions.addAll(departureCheck.tick(view.group(), view.members(), view.syncReplicas(), now));
+        return actions;
     }
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverFaults.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverFaults.java
@@ -129,7 +129,7 @@
                 () -> {
                     if (server.up && server.draining && server.id.equals(id) && !healed) {
                         trace(id + " ends");
-                        if (!server.cutFromDirectory) {
+                        if (!server.cutFromDirectory && random.nextInt(4) > 0) {
                             simulation.deregister(server);
                         }
                         simulation.servers().crash(server);
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverSimulation.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/FailoverSimulation.java
@@ -244,6 +244,9 @@
                 propose(new DirectoryCommand.RecordSuspension("g", record.suspended()));
             } else if (action instanceof FailoverAction.ConfirmReplication confirmation) {
                 propose(new DirectoryCommand.ConfirmReplication("g", confirmation.index()));
+            } else if (action instanceof FailoverAction.RecordEnd end) {
+                trace("end of " + end.server().id());
+                propose(new DirectoryCommand.PutServer(end.server().withState(ServerState.GONE)));
             } else if (action instanceof FailoverAction.ReportBlocked blocked) {
                 trace("blocked: " + blocked.reason());
             } else if (action instanceof FailoverAction.CallPromotion call) {
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
@@ -205,6 +205,21 @@
         expectNothingLost();
     }
 
+    /** The end of a server was not announced, and every later promotion waited for its answer. */
+    @Test
+    void aServerThatHasAnnouncedItsLeavingAndIsSilentHasEnded() {
+        simulation.run(3_000);
+        drain(3);
+        simulation.run(8_000);
+        crash(3);
+        simulation.run(32_000);
+        assertThat(simulation.state().replication("g").departures()).isEmpty();
+        crash(1);
+        simulation.run(3_000);
+        assertThat(server(2).primary).as(simulation.describe()).isTrue();
+        expectNothingLost();
+    }
+
     @Test
     void aPrimaryThatLeavesGoesOnUntilAReplicaReceivesItsCommits() {
         simulation.run(3_000);
