Reject delayed calls before a promotion counts as confirmed

What was seen: in FailoverSimulationTest (not by callers), with sync_replicas 1. A call was not answered, its repetition was accepted, and the delayed one was carried out 8 s later, while a new leader of the directory promoted another server in a planned handover. The commits that the first server acknowledged in between were lost.

Cause: an accepted call was taken to end all calls of its order. A new leader takes a confirmed promotion for settled.

Change: a promotion with an unanswered call is ordered once more, with a higher token, and confirmed only when that call is accepted; the platform then rejects the delayed one. Calls for servers that have ended are forgotten. An attempt that has begun is not disturbed by the end of the last suspension: its record could otherwise be removed after replicas were suspended again (another find of the simulation; writes stopped until the next failover).

Evidence: SynchronousFailoverTest.aDelayedCallIsRejectedBeforeThePromotionCountsAsConfirmed fails without the change.

--- a/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverView.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/FailoverView.java
@@ -1,9 +1,12 @@
 package org.ragwortmoor.coordination.directory;
 
 import io.vavr.control.Option;
+import org.ragwortmoor.coordination.placement.ConnectionPlan;
 import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.FleetSize;
 import org.ragwortmoor.state.directory.GroupReplication;
 import org.ragwortmoor.state.directory.Promotion;
+import org.ragwortmoor.state.routes.GroupLimits;
 
 /**
  * What a failover decides on at one moment.
@@ -24,6 +27,13 @@
         int observers,
         PrimaryLeaseTable leases,
         PrimaryFailureDetector failureDetector) {
+    /** Returns how many proxies use the primary of a group. */
+    static int observers(DirectoryState state, GroupLimits limits) {
+        FleetSize fleet = state.fleet();
+        return ConnectionPlan.of(limits.maxConnections(), fleet.proxies(), fleet.domains())
+                .observers(fleet.proxies(), fleet.domains());
+    }
+
     /** Returns the newest order if it is not known whether the platform has carried it out. */
     Option<Promotion> unconfirmedOrder() {
         return state.promotions().get(group).filter(p -> !p.confirmed());
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/GroupFailover.java
@@ -5,10 +5,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.ragwortmoor.coordination.placement.ConnectionPlan;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.DirectoryState;
-import org.ragwortmoor.state.directory.FleetSize;
 import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
@@ -76,17 +74,14 @@
 
     /** Advances the failover and returns the actions that are due. */
     List<FailoverAction> tick(DirectoryState state, GroupLimits limits, long now) {
-        FleetSize fleet = state.fleet();
-        int observers =
-                ConnectionPlan.of(limits.maxConnections(), fleet.proxies(), fleet.domains())
-                        .observers(fleet.proxies(), fleet.domains());
-        view = view(state, limits.syncReplicas(), observers);
+        view = view(state, limits.syncReplicas(), FailoverView.observers(state, limits));
         if (newlyElected) {
             newlyElected = false;
             view.unconfirmedOrder()
                     .filter(p -> !leases.required() && view.exclusiveCalls())
-                    .forEach(p -> call.inherit(p.server(), now));
+                    .forEach(p -> call.inherit(p, now));
         }
+        call.forgetEnded(state);
         List<FailoverAction> actions = new ArrayList<>(advance(now));
         if (view.replication().suspended()) {
             boolean promotes =
@@ -96,7 +91,9 @@
                             || call.delayedCallPossible(now);
             List<ServerRecord> servers = view.members().servers();
             actions.addAll(promotes ? suspension.keep(servers, now) : List.of());
-            actions.addAll(suspension.tick(servers, now));
+            // What ends a suspension must not arrive after an attempt has begun the next one.
+            boolean mayResume = phase != Phase.ATTEMPTING || attemptedSyncReplicas == 0;
+            actions.addAll(mayResume ? suspension.tick(servers, now) : List.of());
         }
         return actions;
     }
@@ -117,9 +114,7 @@
             case WATCHING -> watch(now);
             case ATTEMPTING -> advanceAttempt(now);
             case ORDERING -> {
-                if (now - phaseDeadline >= 0) {
-                    phase = Phase.WATCHING;
-                }
+                phase = now - phaseDeadline >= 0 ? Phase.WATCHING : Phase.ORDERING;
                 yield List.of();
             }
             case CALLING -> retryCall(now);
@@ -156,7 +151,10 @@
         }
         reason = trigger.reason(view, rejectedServers, suspension.releasing(), now);
         if (reason.isEmpty()) {
-            return confirmation.tick(view, now);
+            Option<Promotion> carriedOut = confirmation.carriedOut(view, now);
+            return carriedOut.isDefined()
+                    ? confirm(carriedOut.get(), now)
+                    : confirmation.tick(view, now);
         }
         if (view.syncReplicas() > 0 && !suspension.quiet(now)) {
             return List.of();
@@ -217,12 +215,10 @@
 
     /** Ends an attempt without a promotion, and releases the suspension if none can follow. */
     private List<FailoverAction> endAttempt(long backoffNanos, long now) {
-        phase = Phase.WATCHING;
-        phaseDeadline = now + backoffNanos;
         if (!call.delayedCallPossible(now)) {
             suspension.release(now);
         }
-        return List.of();
+        return enter(Phase.WATCHING, now + backoffNanos);
     }
 
     private List<FailoverAction> promote(FailoverAttempt.Result.Promote promotion, long now) {
@@ -238,9 +234,7 @@
     /** Lets the directory follow a server that leads the group already. */
     private List<FailoverAction> adopt(ServerRecord server, long now) {
         if (view.exclusiveCalls() && call.delayedCallPossible(server.id(), now)) {
-            phase = Phase.WATCHING;
-            phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
-            return List.of();
+            return enter(Phase.WATCHING, now + FailoverSettings.CALL_BACKOFF_NANOS);
         }
         Option<Promotion> newest = view.state().promotions().get(group);
         boolean ordered = newest.exists(p -> p.server().equals(server.id()));
@@ -249,17 +243,31 @@
             reason += "; " + server.id() + " leads the group already";
             return order(server.id(), now);
         }
-        phase = Phase.WATCHING;
-        phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
+        enter(Phase.WATCHING, now + FailoverSettings.CALL_BACKOFF_NANOS);
         suspension.release(now);
-        return view.unconfirmedOrder()
-                .map(p -> (FailoverAction) new FailoverAction.ConfirmPromotion(group, p.token()))
-                .toJavaList();
+        return view.unconfirmedOrder().map(p -> confirm(p, now)).getOrElse(List.of());
+    }
+
+    /**
+     * Confirms a promotion that was carried out. If a call for it was not answered, it is ordered
+     * once more before, so that the platform rejects that call if it is delayed.
+     */
+    private List<FailoverAction> confirm(Promotion promotion, long now) {
+        if (view.exclusiveCalls() && call.delayedCallPossible(now)) {
+            reason = "a call was not answered";
+            return order(promotion.server(), now);
+        }
+        return List.of(new FailoverAction.ConfirmPromotion(group, promotion.token()));
+    }
+
+    private List<FailoverAction> enter(Phase next, long deadline) {
+        phase = next;
+        phaseDeadline = deadline;
+        return List.of();
     }
 
     private List<FailoverAction> order(String server, long now) {
-        phase = Phase.ORDERING;
-        phaseDeadline = now + FailoverSettings.CALL_RETRY_NANOS;
+        enter(Phase.ORDERING, now + FailoverSettings.CALL_RETRY_NANOS);
         orderedServer = server;
         return List.of(new FailoverAction.OrderPromotion(group, server, reason));
     }
@@ -285,9 +293,9 @@
     private List<FailoverAction> retryCall(long now) {
         boolean leaderFound = !leases.required() && view.majorityReachesLeader(now);
         if (call.calls() > 0 && leaderFound) {
-            phase = view.exclusiveCalls() ? Phase.WATCHING : Phase.SETTLING;
-            phaseDeadline = now + (view.exclusiveCalls() ? 0 : FailoverSettings.SETTLING_NANOS);
-            return List.of();
+            return view.exclusiveCalls()
+                    ? enter(Phase.WATCHING, now + FailoverSettings.CALL_RETRY_NANOS)
+                    : enter(Phase.SETTLING, now + FailoverSettings.SETTLING_NANOS);
         }
         return callIfDue(now);
     }
@@ -300,8 +308,7 @@
         // answer ends the calls.
         if (!view.exclusiveCalls() && call.calls() >= FailoverSettings.MAX_CALLS_PER_ORDER) {
             rejectedServers.add(call.server());
-            phase = Phase.WATCHING;
-            return List.of();
+            return enter(Phase.WATCHING, now);
         }
         return List.of(call.next(group, now));
     }
@@ -315,19 +322,21 @@
             call.recordUnanswered(now);
             return List.of();
         }
-        call.recordAnswered();
         if (outcome == CallOutcome.ACCEPTED) {
-            phase = Phase.SETTLING;
-            phaseDeadline = now + FailoverSettings.SETTLING_NANOS;
+            call.recordAccepted(!leases.required());
+            enter(Phase.SETTLING, now + FailoverSettings.SETTLING_NANOS);
             nextSettlingSurveyAt = now;
             failureDetector.clear();
             leases.resume(group);
-            return List.of(new FailoverAction.ConfirmPromotion(group, calledToken));
+            boolean delayed = view.exclusiveCalls() && call.delayedCallPossible(now);
+            return delayed && !leases.required()
+                    ? List.of()
+                    : List.of(new FailoverAction.ConfirmPromotion(group, calledToken));
         }
+        call.recordRejected();
         if (phase == Phase.CALLING) {
             rejectedServers.add(call.server());
-            phase = Phase.WATCHING;
-            phaseDeadline = now + FailoverSettings.CALL_BACKOFF_NANOS;
+            enter(Phase.WATCHING, now + FailoverSettings.CALL_BACKOFF_NANOS);
         }
         return List.of();
     }
@@ -376,20 +385,15 @@
 
     /** Returns the state as one line of the state dump. */
     String describe(long now) {
-        return group
-                + " "
-                + phase
-                + " candidate="
-                + call.server()
-                + " token="
-                + call.token()
-                + " replaced="
-                + replaced.server().map(ServerRecord::id).getOrElse("")
-                + " replication="
-                + view.replication()
-                + " leases="
-                + leases.holders(group, now)
-                + " reason="
-                + reason;
+        return String.join(
+                " ",
+                group,
+                phase.name(),
+                "candidate=" + call.server(),
+                "token=" + call.token(),
+                "replaced=" + replaced.server().map(ServerRecord::id).getOrElse(""),
+                "replication=" + view.replication(),
+                "leases=" + leases.holders(group, now),
+                "reason=" + reason);
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryConfirmation.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PrimaryConfirmation.java
@@ -7,9 +7,9 @@
 import org.ragwortmoor.state.directory.ServerRecord;
 
 /**
- * Records in the directory, while the primary of a group needs no replacement, what the proxies and
- * the servers show: that a promotion without an answer was carried out, and that the commits of
- * ended servers are held by others.
+ * Finds out, while the primary of a group needs no replacement, what the proxies and the servers
+ * show: that a promotion without an answer was carried out, and which servers have ended without
+ * commits that only they held.
  */
 final class PrimaryConfirmation {
     private final DepartureCheck departureCheck = new DepartureCheck();
@@ -28,22 +28,27 @@
         leaverDetector.record(server);
     }
 
-    /** Returns the actions that are due. */
-    List<FailoverAction> tick(FailoverView view, long now) {
+    /** Returns an order without a confirmation if the proxies reach its server as the primary. */
+    Option<Promotion> carriedOut(FailoverView view, long now) {
         // Under leases the proxies reach no primary before the platform has confirmed it.
-        Option<Promotion> carriedOut =
+        if (view.leases().required() || now - nextConfirmationAt < 0) {
+            return Option.none();
+        }
+        Option<Promotion> found =
                 view.unconfirmedOrder()
                         .filter(
                                 p ->
-                                        !view.leases().required()
-                                                && view.failureDetector()
-                                                        .majorityReaches(
-                                                                p.server(), view.observers(), now));
-        if (carriedOut.isDefined() && now - nextConfirmationAt >= 0) {
+                                        view.failureDetector()
+                                                .majorityReaches(
+                                                        p.server(), view.observers(), now));
+        if (found.isDefined()) {
             nextConfirmationAt = now + FailoverSettings.RECORD_RETRY_NANOS;
-            return List.of(
-                    new FailoverAction.ConfirmPromotion(view.group(), carriedOut.get().token()));
         }
+        return found;
+    }
+
+    /** Returns the actions that are due for servers that leave or have ended. */
+    List<FailoverAction> tick(FailoverView view, long now) {
         if (view.syncReplicas() == 0) {
             return List.of();
         }
--- a/core/src/main/java/org/ragwortmoor/coordination/directory/PromotionCall.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/directory/PromotionCall.java
@@ -1,6 +1,9 @@
 package org.ragwortmoor.coordination.directory;
 
 import io.vavr.control.Option;
+import org.ragwortmoor.state.directory.DirectoryState;
+import org.ragwortmoor.state.directory.Promotion;
+import org.ragwortmoor.state.directory.ServerState;
 
 /**
  * The calls that ask the platform to carry out one promotion order. A call without an answer is
@@ -14,6 +17,7 @@
     private boolean inFlight;
     private Option<Long> unansweredAt = Option.none();
     private String unansweredServer = "";
+    private long unansweredToken;
 
     /** Forgets the calls of an earlier leadership. */
     void reset() {
@@ -22,9 +26,19 @@
     }
 
     /** Assumes that an earlier leader has called for its order without an answer. */
-    void inherit(String orderedServer, long now) {
+    void inherit(Promotion order, long now) {
         unansweredAt = Option.some(now);
-        unansweredServer = orderedServer;
+        unansweredServer = order.server();
+        unansweredToken = order.token();
+    }
+
+    /** Forgets an unanswered call for a server that has ended and cannot be promoted any more. */
+    void forgetEnded(DirectoryState state) {
+        boolean ended =
+                state.servers().get(unansweredServer).exists(s -> s.state() == ServerState.GONE);
+        if (ended) {
+            unansweredAt = Option.none();
+        }
     }
 
     /** Starts to call for a new order. */
@@ -59,8 +73,20 @@
         return new FailoverAction.CallPromotion(group, server, token);
     }
 
-    /** Records that the platform has accepted or rejected a call. */
-    void recordAnswered() {
+    /**
+     * Records that the platform has accepted a call.
+     *
+     * @param fencing whether it now rejects delayed calls for earlier orders
+     */
+    void recordAccepted(boolean fencing) {
+        inFlight = false;
+        if (fencing && unansweredToken < token) {
+            unansweredAt = Option.none();
+        }
+    }
+
+    /** Records that the platform has rejected a call. */
+    void recordRejected() {
         inFlight = false;
     }
 
@@ -69,6 +95,7 @@
         inFlight = false;
         unansweredAt = Option.some(now);
         unansweredServer = server;
+        unansweredToken = token;
         nextCallAt = now + FailoverSettings.CALL_BACKOFF_NANOS;
     }
 
--- a/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/directory/SynchronousFailoverTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import org.ragwortmoor.state.directory.Promotion;
 import org.ragwortmoor.state.directory.ServerRecord;
 
 /** Single faults and pairs that a group with synchronous replicas has met, in virtual time. */
@@ -235,6 +236,25 @@
         expectNothingLost();
     }
 
+    /**
+     * The delayed call replaced a later primary, or promoted its server behind a new leader's back.
+     */
+    @Test
+    void aDelayedCallIsRejectedBeforeThePromotionCountsAsConfirmed() {
+        simulation.run(3_000);
+        simulation.platform().set(false, 1, 0);
+        crash(1);
+        simulation.run(1_300);
+        assertThat(simulation.trace()).anyMatch(l -> l.contains("UNKNOWN"));
+        simulation.platform().set(false, 0, 0);
+        long unanswered = simulation.state().promotions().get("g").get().token();
+        simulation.run(5_000);
+        Promotion confirmed = simulation.state().promotions().get("g").get();
+        assertThat(confirmed.confirmed()).isTrue();
+        assertThat(confirmed.token()).isGreaterThan(unanswered);
+        expectWritesWithin(0);
+    }
+
     @Test
     void theDirectoryFollowsAServerThatLeadsAfterARestart() {
         simulation.run(3_000);
