Bound what one announcement of a server may store

Names of 300 kB, port 0 and a capacity of 0 were stored, replicated and sent to all proxies.

Cause: ServerPrecedence believes any start time, since a later one marks a newer incarnation; and nothing bounded the fields.

An announcement out of bounds gets 400 with the field and the bound, a counter and a log line with a limit on their rate; so does one that cannot be read. What another process forwards is checked as well.

Requests of servers and operators are served by DirectoryRequests itself, behind DirectoryNode.api().

--- a/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
@@ -19,20 +19,16 @@
     /** Rate limit; writing a line costs about as much as serving a statement. */
     private static final int LINES_PER_SECOND = 40;
 
-    private static final long SECOND_NANOS = 1_000_000_000L;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private static final Logger LOG = LoggerFactory.getLogger(DecisionLogger.class);
 
-    private final LongSupplier clock;
+    private final LineLimit lines;
     private final Counter statements;
     private final Counter forwarded;
     private final Counter connections;
     private final Histogram latency;
-    private long windowStart;
-    private int linesInWindow;
-    private long omitted;
 
     /**
      * Creates and registers the metrics.
@@ -40,7 +36,7 @@
      * @param clock time in nanoseconds, for the rate limit
      */
     public DecisionLogger(PrometheusRegistry registry, LongSupplier clock) {
-        this.clock = clock;
+        this.lines = new LineLimit(LINES_PER_SECOND, clock);
         this.statements =
                 Counter.builder()
                         .name("ragwortmoor_statements_total")
@@ -191,20 +187,11 @@
     }
 
     private boolean tryAcquireLine() {
-        long now = clock.getAsLong();
-        if (now - windowStart >= SECOND_NANOS) {
-            if (omitted > 0) {
-                LOG.info("event=lines_omitted count={}", omitted);
-            }
-            windowStart = now;
-            linesInWindow = 0;
-            omitted = 0;
+        boolean allowed = lines.tryAcquire();
+        long omitted = allowed ? lines.takeOmitted() : 0;
+        if (omitted > 0) {
+            LOG.info("event=lines_omitted count={}", omitted);
         }
-        if (linesInWindow >= LINES_PER_SECOND) {
-            omitted++;
-            return false;
-        }
-        linesInWindow++;
-        return true;
+        return allowed;
     }
 }
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryApi.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryApi.java
@@ -11,7 +11,9 @@
         /** The request was carried out, now or by an earlier attempt. */
         DONE,
         /** No definite answer in time, or no quorum; retrying at any process is safe. */
-        UNAVAILABLE
+        UNAVAILABLE,
+        /** The request is out of bounds, and retrying it unchanged is of no use. */
+        REFUSED
     }
 
     /**
@@ -27,10 +29,21 @@
     /** Returns the newest table; never one older than a table acknowledged before the call. */
     CompletionStage<RoutesResult> readRoutes();
 
+    /**
+     * Result of an announcement.
+     *
+     * @param reason the field that is out of bounds, and its bound; empty unless the outcome is
+     *     {@code REFUSED}
+     */
+    record AnnouncementResult(Outcome outcome, String reason) {}
+
     /**
      * Records a server's announcement.
      *
      * @param sequence sequence number of the announcement within the server's incarnation
      */
-    CompletionStage<Outcome> announce(ServerRecord server, long sequence);
+    CompletionStage<AnnouncementResult> announce(ServerRecord server, long sequence);
+
+    /** Logs and counts an announcement that could not be read. */
+    void recordUnreadable(String server, String reason);
 }
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ragwortmoor.coordination.consensus.ConsensusAction;
@@ -26,11 +25,9 @@
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
-import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.log.Member;
 import org.ragwortmoor.state.log.MemberId;
 import org.ragwortmoor.state.log.StorageError;
-import org.ragwortmoor.state.routes.RouteTable;
 import org.ragwortmoor.transport.PeerClient;
 import org.ragwortmoor.transport.PeerListener;
 import org.ragwortmoor.transport.PeerServer;
@@ -44,7 +41,7 @@
  * A directory process. It replicates the directory and, as leader, decides about members, servers
  * and promotions. Everything runs on one event loop, so decisions are made in the order of events.
  */
-public final class DirectoryNode implements DirectoryApi, AutoCloseable {
+public final class DirectoryNode implements AutoCloseable {
     /** Short compared with the heartbeat interval of 80 ms. */
     private static final long TICK_INTERVAL_MILLIS = 20;
 
@@ -90,7 +87,7 @@
         String host = settings.controlAddress().ip().getHostAddress();
         TransportSettings transport = TransportSettings.forPeers(host);
         TransportMetrics metrics = new TransportMetrics(registry);
-        requests = new DirectoryRequests(this);
+        requests = new DirectoryRequests(this, registry);
         Listener listener = new Listener();
         String self = settings.controlAddress().toString();
         peers = new PeerClient(transport, self, loop, listener, metrics, new Random());
@@ -136,19 +133,9 @@
                 });
     }
 
-    @Override
-    public CompletionStage<Outcome> putRoutes(RouteTable table) {
-        return requests.putRoutes(table).thenApply(RoutesResult::outcome);
-    }
-
-    @Override
-    public CompletionStage<RoutesResult> readRoutes() {
-        return requests.readRoutes();
-    }
-
-    @Override
-    public CompletionStage<Outcome> announce(ServerRecord record, long sequence) {
-        return requests.announce(record, sequence).thenApply(RoutesResult::outcome);
+    /** Returns the requests of servers and operators, which are made on the event loop. */
+    public DirectoryApi api() {
+        return requests;
     }
 
     /** Returns the state as text lines, for the state dump. */
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryRequests.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryRequests.java
@@ -1,8 +1,11 @@
 package org.ragwortmoor.directory;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.ragwortmoor.protocol.DirectoryCodec;
@@ -21,29 +24,35 @@
  * Serves the requests of servers and operators. The leader serves them from the replicated log; any
  * other process forwards them to the leader. Confined to the event loop.
  */
-final class DirectoryRequests {
+final class DirectoryRequests implements DirectoryApi {
     /** Timeout of a forwarded request; callers try another process after 1 s. */
     private static final long FORWARD_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(850);
 
     private static final Logger LOG = LoggerFactory.getLogger(DirectoryRequests.class);
 
     private final DirectoryNode node;
+    private final AnnouncementGate gate;
     private final Map<Long, PendingForward> pendingForwards = new HashMap<>();
     private final Map<String, LastAnnouncement> lastAnnouncements = new HashMap<>();
     private long nextId;
 
-    private record PendingForward(
-            CompletableFuture<DirectoryApi.RoutesResult> answer, long deadline) {}
+    private record PendingForward(CompletableFuture<RoutesResult> answer, long deadline) {}
 
     private record LastAnnouncement(long startedAtMillis, long sequence) {}
 
-    DirectoryRequests(DirectoryNode node) {
+    DirectoryRequests(DirectoryNode node, PrometheusRegistry registry) {
         this.node = node;
+        this.gate = new AnnouncementGate(registry, System::currentTimeMillis, System::nanoTime);
         this.nextId = System.nanoTime();
     }
 
-    CompletableFuture<DirectoryApi.RoutesResult> putRoutes(RouteTable table) {
-        CompletableFuture<DirectoryApi.RoutesResult> answer = new CompletableFuture<>();
+    @Override
+    public CompletionStage<Outcome> putRoutes(RouteTable table) {
+        return storeRoutes(table).thenApply(RoutesResult::outcome);
+    }
+
+    private CompletableFuture<RoutesResult> storeRoutes(RouteTable table) {
+        CompletableFuture<RoutesResult> answer = new CompletableFuture<>();
         if (!node.leads()) {
             forward(
                     ForwardedRequestMessage.newBuilder()
@@ -66,8 +75,9 @@
         return answer;
     }
 
-    CompletableFuture<DirectoryApi.RoutesResult> readRoutes() {
-        CompletableFuture<DirectoryApi.RoutesResult> answer = new CompletableFuture<>();
+    @Override
+    public CompletableFuture<RoutesResult> readRoutes() {
+        CompletableFuture<RoutesResult> answer = new CompletableFuture<>();
         if (!node.leads()) {
             forward(ForwardedRequestMessage.newBuilder().setReadRoutes(true), answer);
             return answer;
@@ -79,8 +89,23 @@
         return answer;
     }
 
-    CompletableFuture<DirectoryApi.RoutesResult> announce(ServerRecord server, long sequence) {
-        CompletableFuture<DirectoryApi.RoutesResult> answer = new CompletableFuture<>();
+    @Override
+    public void recordUnreadable(String server, String reason) {
+        gate.recordUnreadable(server, reason);
+    }
+
+    @Override
+    public CompletionStage<AnnouncementResult> announce(ServerRecord server, long sequence) {
+        Option<String> problem = gate.problem(server);
+        return problem.isDefined()
+                ? CompletableFuture.completedFuture(
+                        new AnnouncementResult(Outcome.REFUSED, problem.get()))
+                : storeServer(server, sequence)
+                        .thenApply(r -> new AnnouncementResult(r.outcome(), ""));
+    }
+
+    private CompletableFuture<RoutesResult> storeServer(ServerRecord server, long sequence) {
+        CompletableFuture<RoutesResult> answer = new CompletableFuture<>();
         if (!node.leads()) {
             if (server.state() == ServerState.READY && !node.state().wouldChange(server)) {
                 // The announcement changes nothing, so it is not forwarded.
@@ -96,12 +121,7 @@
                     answer);
             return answer;
         }
-        LastAnnouncement last = lastAnnouncements.get(server.id());
-        boolean stale =
-                last != null
-                        && (server.startedAtMillis() < last.startedAtMillis()
-                                || (server.startedAtMillis() == last.startedAtMillis()
-                                        && sequence <= last.sequence()));
+        boolean stale = isStale(server, sequence);
         if (!stale) {
             lastAnnouncements.put(
                     server.id(), new LastAnnouncement(server.startedAtMillis(), sequence));
@@ -128,9 +148,18 @@
         return answer;
     }
 
+    /** Returns whether an announcement was sent before one that has arrived. */
+    private boolean isStale(ServerRecord server, long sequence) {
+        LastAnnouncement last = lastAnnouncements.get(server.id());
+        if (last == null || server.startedAtMillis() > last.startedAtMillis()) {
+            return false;
+        }
+        boolean sameIncarnation = server.startedAtMillis() == last.startedAtMillis();
+        return !sameIncarnation || (sequence <= last.sequence());
+    }
+
     private void forward(
-            ForwardedRequestMessage.Builder request,
-            CompletableFuture<DirectoryApi.RoutesResult> answer) {
+            ForwardedRequestMessage.Builder request, CompletableFuture<RoutesResult> answer) {
         long id = nextId++;
         DirectoryMessage message =
                 DirectoryMessage.newBuilder().setRequest(request.setId(id)).build();
@@ -144,7 +173,7 @@
 
     /** Serves a request that another process has forwarded. */
     void serveForwarded(ForwardedRequestMessage request, Consumer<DirectoryMessage> reply) {
-        CompletableFuture<DirectoryApi.RoutesResult> answer;
+        CompletableFuture<RoutesResult> answer;
         if (!node.leads()) {
             answer = new CompletableFuture<>();
             complete(answer, false, "");
@@ -163,31 +192,36 @@
                                         .build()));
     }
 
-    private CompletableFuture<DirectoryApi.RoutesResult> serve(ForwardedRequestMessage request) {
+    private CompletableFuture<RoutesResult> serve(ForwardedRequestMessage request) {
         return switch (request.getRequestCase()) {
             case PUT_ROUTES ->
                     DirectoryCodec.decodeRoutes(request.getPutRoutes())
-                            .fold(e -> unavailable(), this::putRoutes);
+                            .fold(e -> unavailable(), this::storeRoutes);
             case ANNOUNCEMENT ->
                     DirectoryCodec.decodeServer(request.getAnnouncement().getServer())
                             .fold(
                                     e -> unavailable(),
-                                    s -> announce(s, request.getAnnouncement().getSequence()));
+                                    s ->
+                                            gate.problem(s).isDefined()
+                                                    ? unavailable()
+                                                    : storeServer(
+                                                            s,
+                                                            request.getAnnouncement()
+                                                                    .getSequence()));
             case READ_ROUTES -> readRoutes();
             case REQUEST_NOT_SET -> unavailable();
         };
     }
 
-    private CompletableFuture<DirectoryApi.RoutesResult> unavailable() {
-        return CompletableFuture.completedFuture(
-                new DirectoryApi.RoutesResult(DirectoryApi.Outcome.UNAVAILABLE, ""));
+    private CompletableFuture<RoutesResult> unavailable() {
+        return CompletableFuture.completedFuture(new RoutesResult(Outcome.UNAVAILABLE, ""));
     }
 
     /** Handles the leader's answer to a forwarded request. */
     void handleAnswer(ForwardedAnswerMessage message) {
         PendingForward request = pendingForwards.remove(message.getId());
         if (request != null) {
-            boolean done = message.getOutcome().equals(DirectoryApi.Outcome.DONE.name());
+            boolean done = message.getOutcome().equals(Outcome.DONE.name());
             complete(request.answer(), done, message.getSource());
         }
     }
@@ -213,10 +247,8 @@
     }
 
     private static void complete(
-            CompletableFuture<DirectoryApi.RoutesResult> answer, boolean done, String source) {
+            CompletableFuture<RoutesResult> answer, boolean done, String source) {
         answer.complete(
-                new DirectoryApi.RoutesResult(
-                        done ? DirectoryApi.Outcome.DONE : DirectoryApi.Outcome.UNAVAILABLE,
-                        done ? source : ""));
+                new RoutesResult(done ? Outcome.DONE : Outcome.UNAVAILABLE, done ? source : ""));
     }
 }
--- a/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
+++ b/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.ragwortmoor.coordination.engine.Counter;
+import org.ragwortmoor.directory.AnnouncementGate;
 import org.ragwortmoor.directory.DecisionLogger;
 import org.ragwortmoor.directory.TrafficMetrics;
 import org.ragwortmoor.transport.TransportMetrics;
@@ -50,6 +51,8 @@
         decisions.forwardedStatement("id", "proxy", "server", "ok", "", Option.none(), 1, 1);
         decisions.connectionLost("group", "server", "reason");
         new TrafficMetrics(registry);
+        new AnnouncementGate(registry, System::currentTimeMillis, System::nanoTime)
+                .recordUnreadable("server", "reason");
         Set<String> found = new TreeSet<>(described(MetricsText.of(registry)));
         EmbeddedDeployment.Shape shape =
                 EmbeddedDeployment.Shape.carritos().withSizes(List.of("fleet-colina"), 1, 1);
@@ -92,6 +95,7 @@
             }
             assertThat(naming)
                     .containsExactly(
+                            "AnnouncementGate.java",
                             "ControlMetrics.java",
                             "DecisionLogger.java",
                             "ProxyMetrics.java",
--- a/app/src/test/java/org/ragwortmoor/directory/DirectoryNodeFuzzTest.java
+++ b/app/src/test/java/org/ragwortmoor/directory/DirectoryNodeFuzzTest.java
@@ -3,25 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.protobuf.ByteString;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.ragwortmoor.coordination.consensus.ConsensusMessage;
-import org.ragwortmoor.coordination.directory.CallOutcome;
 import org.ragwortmoor.protocol.ConsensusCodec;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
@@ -32,7 +22,6 @@
 import org.ragwortmoor.protocol.wire.RouteTableMessage;
 import org.ragwortmoor.protocol.wire.ServerAnnouncementMessage;
 import org.ragwortmoor.protocol.wire.ServerMessage;
-import org.ragwortmoor.settings.Address;
 import org.ragwortmoor.state.log.MemberId;
 import org.ragwortmoor.state.routes.GroupLimits;
 import org.ragwortmoor.state.routes.RouteTable;
@@ -43,48 +32,21 @@
 /** Guards a directory process against messages that no process of ours would send. */
 class DirectoryNodeFuzzTest {
     private static final int MESSAGES = 3_000;
-    private static final String HOST = "127.0.0.1";
 
     @TempDir private Path folder;
 
-    private final EventLoopGroup loops =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final SplittableRandom random = new SplittableRandom(20_261_204);
-    private DirectoryNode node;
+    private RunningDirectory directory;
     private PeerClient client;
-    private String address;
-    private String control;
 
     @BeforeEach
     void start() throws Exception {
-        int port = freePort();
-        control = HOST + ":" + freePort();
-        address = HOST + ":" + port;
-        DirectorySettings settings =
-                new DirectorySettings(
-                        "a",
-                        Address.parse(control).get(),
-                        port,
-                        List.of(control),
-                        true,
-                        folder.resolve("data"),
-                        "",
-                        false,
-                        3_000,
-                        "");
-        node =
-                new DirectoryNode(
-                        settings,
-                        ProcessStart.now(),
-                        loops,
-                        (promotion, stillValid) ->
-                                CompletableFuture.completedFuture(CallOutcome.ACCEPTED),
-                        new PrometheusRegistry());
+        directory = new RunningDirectory(folder);
         client =
                 new PeerClient(
-                        TransportSettings.forPeers(HOST),
+                        TransportSettings.forPeers(RunningDirectory.HOST),
                         "stranger",
-                        loops.next(),
+                        directory.loop(),
                         (message, reply) -> {},
                         new TransportMetrics(new PrometheusRegistry()),
                         new SplittableRandom(1));
@@ -93,39 +55,7 @@
     @AfterEach
     void stop() throws Exception {
         client.close();
-        node.stop().get(5, TimeUnit.SECONDS);
-        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-    }
-
-    private static int freePort() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
-        }
-    }
-
-    /** Calls the process on its event loop. */
-    private <T> T call(Supplier<CompletionStage<T>> request) throws Exception {
-        CompletableFuture<T> answer = new CompletableFuture<>();
-        loops.execute(
-                () ->
-                        request.get()
-                                .whenComplete(
-                                        (result, error) -> {
-                                            if (error == null) {
-                                                answer.complete(result);
-                                            } else {
-                                                answer.completeExceptionally(error);
-                                            }
-                                        }));
-        return answer.get(5, TimeUnit.SECONDS);
-    }
-
-    private void awaitOutcome(RouteTable table) throws Exception {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-        while (call(() -> node.putRoutes(table)) != DirectoryApi.Outcome.DONE) {
-            assertThat(System.nanoTime()).as("time until the table is stored").isLessThan(end);
-            Thread.sleep(50);
-        }
+        directory.close();
     }
 
     private static RouteTable table(long version) {
@@ -137,7 +67,7 @@
         return switch (random.nextInt(6)) {
             case 0 -> "";
             case 1 -> "g";
-            case 2 -> control;
+            case 2 -> directory.control();
             case 3 -> "\u0000\uffff";
             case 4 -> "x".repeat(random.nextInt(3_000));
             default -> "n" + random.nextInt(5);
@@ -214,7 +144,7 @@
     }
 
     private ByteString consensusMessage() {
-        MemberId self = new MemberId(control, random.nextBoolean() ? 0 : number());
+        MemberId self = new MemberId(directory.control(), random.nextBoolean() ? 0 : number());
         MemberId other = new MemberId(text(), number());
         ConsensusMessage message =
                 random.nextBoolean()
@@ -241,14 +171,14 @@
 
     @Test
     void theProcessServesAfterThousandsOfInvalidMessages() throws Exception {
-        awaitOutcome(table(10));
+        directory.awaitStored(table(10));
         for (int i = 0; i < MESSAGES; i++) {
-            client.send(address, body());
+            client.send(directory.peerAddress(), body());
             if (i % 100 == 0) {
                 Thread.sleep(20);
             }
         }
-        awaitOutcome(table(20));
-        assertThat(call(node::readRoutes).source()).isEqualTo("version 20");
+        directory.awaitStored(table(20));
+        assertThat(directory.call(directory.api()::readRoutes).source()).isEqualTo("version 20");
     }
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -200,13 +200,14 @@
             replication = replication.put(r.getGroup(), decode(r));
         }
         return new DirectoryState(
-                decode(message.getRoutes()),
-                message.getRoutesRevision(),
-                servers,
-                message.getServersRevision(),
-                promotions,
-                new FleetSize(message.getProxies(), message.getDomains()),
-                replication);
+                        decode(message.getRoutes()),
+                        message.getRoutesRevision(),
+                        servers,
+                        message.getServersRevision(),
+                        promotions,
+                        new FleetSize(message.getProxies(), message.getDomains()),
+                        replication)
+                .withoutImpossibleServers();
     }
 
     /**
--- a/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
+++ b/core/src/main/java/org/ragwortmoor/state/directory/DirectoryState.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
+import io.vavr.collection.Set;
 import io.vavr.control.Option;
 import java.util.List;
 import org.ragwortmoor.state.routes.RouteTable;
@@ -121,6 +122,9 @@
     }
 
     private DirectoryState putServer(ServerRecord server, long index) {
+        if (PlausibleStart.isImpossible(server)) {
+            return this;
+        }
         ServerRecord known = servers.get(server.id()).getOrNull();
         if (known != null && !ServerPrecedence.replaces(server, known)) {
             return this;
@@ -175,6 +179,31 @@
         return result;
     }
 
+    /**
+     * Returns the directory without servers that an earlier release stored with an impossible start
+     * time. The records of servers that they displaced are removed too, so that the next
+     * announcements of those servers count.
+     */
+    public DirectoryState withoutImpossibleServers() {
+        Set<String> addresses =
+                servers.values()
+                        .filter(PlausibleStart::isImpossible)
+                        .map(ServerRecord::address)
+                        .toSet();
+        return new DirectoryState(
+                routes,
+                routesRevision,
+                servers.filterValues(
+                        s ->
+                                !PlausibleStart.isImpossible(s)
+                                        && !(s.state() == ServerState.GONE
+                                                && addresses.contains(s.address()))),
+                serversRevision,
+                promotions,
+                fleet,
+                replication);
+    }
+
     /** Returns the servers of a group that have not ended. */
     public List<ServerRecord> members(String group) {
         return servers.values()
--- a/core/src/test/java/org/ragwortmoor/state/directory/DirectoryStateTest.java
+++ b/core/src/test/java/org/ragwortmoor/state/directory/DirectoryStateTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ragwortmoor.protocol.DirectoryCodec;
+import org.ragwortmoor.state.routes.GroupLimits;
 import org.ragwortmoor.state.routes.RouteTable;
 
 /**
@@ -105,6 +106,84 @@
         assertThat(state.routes().source()).isEqualTo("seven");
     }
 
+    /** An entry that an earlier release has stored must do no harm when the log is read again. */
+    @Test
+    void aStoredServerWithAnImpossibleStartHasNoEffect() {
+        announce("s1", 10, "a:1", ServerState.READY, true);
+        announce("odd", Long.MAX_VALUE - 1, "a:1", ServerState.READY, true);
+        announce("s1", Long.MAX_VALUE, "a:1", ServerState.READY, true);
+        assertThat(state.members("g")).extracting(ServerRecord::id).containsExactly("s1");
+        announce("s1", 10, "a:1", ServerState.DRAINING, true);
+        assertThat(stateOf("s1")).isEqualTo(ServerState.DRAINING);
+    }
+
+    @Test
+    void aServerThatWasDisplacedByAnImpossibleOneIsUsedAgainAfterARestart() {
+        announce("s1", 10, "a:1", ServerState.GONE, true);
+        announce("s2", 10, "a:2", ServerState.GONE, true);
+        ServerRecord odd =
+                new ServerRecord(
+                        "odd", Long.MAX_VALUE, "g", "a:1", "a", 5, ServerState.READY, true, 3);
+        state =
+                new DirectoryState(
+                        state.routes(),
+                        state.routesRevision(),
+                        state.servers().put("odd", odd),
+                        state.serversRevision(),
+                        state.promotions(),
+                        state.fleet(),
+                        state.replication());
+        restart();
+        announce("s1", 10, "a:1", ServerState.READY, true);
+        announce("s2", 10, "a:2", ServerState.READY, true);
+        assertThat(state.members("g")).extracting(ServerRecord::id).containsExactly("s1");
+    }
+
+    @Test
+    void aSuspensionAndDeparturesSurviveARestart() {
+        apply(
+                new DirectoryCommand.PutRoutes(
+                        new RouteTable(1, List.of(), List.of(new GroupLimits("g", 9, 1)), 0, "")));
+        announce("s1", 10, "a:1", ServerState.READY, true);
+        announce("s2", 10, "a:2", ServerState.READY, false);
+        apply(new DirectoryCommand.RecordSuspension("g", true));
+        announce("s2", 10, "a:2", ServerState.GONE, false);
+        long ended = index;
+        announce("s1", 20, "a:1", ServerState.READY, true);
+        restart();
+        assertThat(state.replication("g").suspended()).isTrue();
+        assertThat(state.replication("g").departures())
+                .containsExactly(
+                        new Departure("s2", 10, "a:2", ended),
+                        new Departure("s1", 10, "a:1", ended + 1));
+        apply(new DirectoryCommand.ConfirmReplication("g", ended));
+        apply(new DirectoryCommand.RecordSuspension("g", false));
+        assertThat(state.replication("g").departures())
+                .extracting(Departure::server)
+                .containsExactly("s1");
+        apply(new DirectoryCommand.ConfirmReplication("g", ended + 1));
+        assertThat(state.replication()).isEmpty();
+    }
+
+    @Test
+    void withoutSynchronousReplicasNoDepartureIsRecorded() {
+        announce("s1", 10, "a:1", ServerState.READY, true);
+        announce("s1", 10, "a:1", ServerState.GONE, true);
+        assertThat(state.replication()).isEmpty();
+    }
+
+    @Test
+    void commandsOfAFailoverAreReadAsTheyWereWritten() {
+        for (DirectoryCommand command :
+                List.of(
+                        new DirectoryCommand.RecordSuspension("g", true),
+                        new DirectoryCommand.RecordSuspension("g", false),
+                        new DirectoryCommand.ConfirmReplication("g", 77))) {
+            assertThat(DirectoryCodec.decodeCommand(DirectoryCodec.encode(command)).get())
+                    .isEqualTo(command);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void noIncarnationEverGoesBackInItsLife(long seed) {
