Obey a later state of a server whatever its sequence number

What was seen: found while bounding announcements. Another writer that announces a server with a very high sequence number has each later heartbeat of that server acknowledged and ignored, the one that says that it leaves too.

Cause: a lower sequence number marks an announcement as late, and nothing of a late announcement is used.

Change: the state of an incarnation never goes back, so an announcement of a later state counts in any order.

Evidence: AnnouncementTest.aHighSequenceNumberDoesNotHideThatTheServerLeaves failed before.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryRequests.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryRequests.java
@@ -148,14 +148,22 @@
         return answer;
     }
 
-    /** Returns whether an announcement was sent before one that has arrived. */
+    /**
+     * Returns whether an announcement was sent before one that has arrived. An incarnation only
+     * goes on to later states, so an announcement of a later one always counts.
+     */
     private boolean isStale(ServerRecord server, long sequence) {
         LastAnnouncement last = lastAnnouncements.get(server.id());
         if (last == null || server.startedAtMillis() > last.startedAtMillis()) {
             return false;
         }
         boolean sameIncarnation = server.startedAtMillis() == last.startedAtMillis();
-        return !sameIncarnation || (sequence <= last.sequence());
+        boolean laterState =
+                node.state()
+                        .servers()
+                        .get(server.id())
+                        .exists(known -> server.state().compareTo(known.state()) > 0);
+        return !sameIncarnation || (sequence <= last.sequence() && !laterState);
     }
 
     private void forward(
--- a/app/src/test/java/org/ragwortmoor/directory/AnnouncementTest.java
+++ b/app/src/test/java/org/ragwortmoor/directory/AnnouncementTest.java
@@ -61,6 +61,17 @@
         assertThat(stateOf("s1")).isEqualTo(ServerState.DRAINING);
     }
 
+    /** Such an entry had the server's leaving acknowledged and ignored. */
+    @Test
+    void aHighSequenceNumberDoesNotHideThatTheServerLeaves() throws Exception {
+        announce("s1", 1_000, ServerState.READY, Long.MAX_VALUE);
+        assertThat(announce("s1", 1_000, ServerState.DRAINING, 7))
+                .isEqualTo(DirectoryApi.Outcome.DONE);
+        assertThat(stateOf("s1")).isEqualTo(ServerState.DRAINING);
+        announce("s1", 1_000, ServerState.GONE, 8);
+        assertThat(stateOf("s1")).isEqualTo(ServerState.GONE);
+    }
+
     @Test
     void aLateAnnouncementChangesNothing() throws Exception {
         announce("s1", 1_000, ServerState.DRAINING, 9);
