--- a/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
@@ -95,7 +95,8 @@
                 ForwardedStatement.Mode.AUTOCOMMIT,
                 0,
                 false,
-                false);
+                false,
+                "");
     }
 
     private CompletableFuture<ForwardedResult> execute(int port, long stream) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/AutocommitStatement.java
@@ -165,6 +165,7 @@
             request =
                     new ConnectionRequest(
                             target,
+                            session.workspace(),
                             statement.route().priority(),
                             session.state().values(),
                             excluded,
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
@@ -24,6 +24,7 @@
     private final SessionConsistency consistency = new SessionConsistency();
     private final Deque<StatementMessage> backlog = new ArrayDeque<>();
     private String database = "";
+    private String workspace = "";
     private CallerTransaction transaction;
     private StatementExecution autocommitStatement;
     private SessionHost.Timer idleTimer;
@@ -88,10 +89,6 @@
         }
     }
 
-    boolean inHandshake() {
-        return busy && !handshakeDone;
-    }
-
     /** Answers CONNECT once routes are known or the wait for them has timed out. */
     void completeHandshake() {
         if (closed || handshakeDone) {
@@ -146,7 +143,8 @@
         }
         Statement statement = parsed.get();
         int size = id.length() + text.length();
-        if (changedForServers(statement) && size > SessionSettings.MAX_CHANGED_STATEMENT_BYTES) {
+        if (RoutedStatement.changedForServers(statement)
+                && size > SessionSettings.MAX_CHANGED_STATEMENT_BYTES) {
             answerError(
                     ErrorCode.MALFORMED.name(),
                     "a statement of this kind may have "
@@ -178,14 +176,6 @@
         }
     }
 
-    /** Returns whether servers receive the statement with a prefix, another name or another id. */
-    private static boolean changedForServers(Statement statement) {
-        return statement instanceof Statement.Read
-                || statement instanceof Statement.Execute
-                || statement instanceof Statement.Prepare
-                || statement instanceof Statement.SetValue;
-    }
-
     private void handleInFailedTransaction(Either<String, Statement> parsed) {
         Option<String> errorCode =
                 parsed.isLeft()
@@ -368,6 +358,11 @@
             return engine.statementNames();
         }
 
+        @Override
+        public String workspace() {
+            return workspace;
+        }
+
         @Override
         public void transactionEnded() {
             transaction = null;
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
@@ -27,6 +27,7 @@
     }
 
     private final Target target;
+    private final String workspace;
     private final int priority;
     private final Map<String, String> values;
     private final long deadline;
@@ -35,12 +36,14 @@
 
     ConnectionRequest(
             Target target,
+            String workspace,
             int priority,
             Map<String, String> values,
             Set<String> excluded,
             long deadline,
             Listener listener) {
         this.target = target;
+        this.workspace = workspace;
         this.priority = priority;
         this.values = values;
         this.deadline = deadline;
@@ -52,6 +55,11 @@
         return target;
     }
 
+    /** Returns the workspace that the connection has to belong to; empty if it has none. */
+    String workspace() {
+        return workspace;
+    }
+
     int priority() {
         return priority;
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedStatement.java
@@ -24,6 +24,7 @@
  * @param valuesChanged whether the caller changed a session value inside the transaction
  * @param mayDecline whether another proxy could execute the statement if this one has no connection
  *     to the leader
+ * @param workspace name of the caller's workspace; empty if it has none
  */
 public record ForwardedStatement(
         long stream,
@@ -38,7 +39,8 @@
         Mode mode,
         long transactionAgeMillis,
         boolean valuesChanged,
-        boolean mayDecline) {
+        boolean mayDecline,
+        String workspace) {
     /** How a statement is executed. */
     public enum Mode {
         /** Outside of a transaction. */
@@ -77,7 +79,8 @@
                 mode,
                 transactionAgeMillis,
                 valuesChanged,
-                mayDecline);
+                mayDecline,
+                session.workspace());
     }
 
     private static Route withTimeout(Route route, int timeoutMillis) {
@@ -90,6 +93,7 @@
                 timeoutMillis,
                 route.targetMillis(),
                 route.priority(),
-                route.maxStalenessMillis());
+                route.maxStalenessMillis(),
+                route.keyExempt());
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/HolderStream.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/HolderStream.java
@@ -21,6 +21,7 @@
     private SessionHost.Timer idleTimer;
     private ServerGroup group;
     private String server = "";
+    private String workspace = "";
     private boolean mayDecline;
     private boolean valuesMarked;
     private boolean answered;
@@ -42,6 +43,7 @@
         answered = false;
         server = "";
         mayDecline = statement.mayDecline();
+        workspace = statement.workspace();
         state.values().clear();
         state.values().putAll(statement.values());
         consistency.setLastCommit(statement.lastCommit());
@@ -168,6 +170,11 @@
         return engine.statementNames();
     }
 
+    @Override
+    public String workspace() {
+        return workspace;
+    }
+
     @Override
     public void transactionEnded() {
         transaction = Option.none();
--- a/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/PinnedTransaction.java
@@ -142,6 +142,7 @@
         pendingRequest =
                 new ConnectionRequest(
                         target,
+                        session.workspace(),
                         route.priority(),
                         session.state().values(),
                         excluded,
--- a/core/src/main/java/org/ragwortmoor/coordination/session/RoutedStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/RoutedStatement.java
@@ -59,6 +59,14 @@
         return new RoutedStatement(id, kind, text, shape, arguments, arrivedAt, route);
     }
 
+    /** Returns whether servers receive the statement with a prefix, another name or another id. */
+    static boolean changedForServers(Statement statement) {
+        return statement instanceof Statement.Read
+                || statement instanceof Statement.Execute
+                || statement instanceof Statement.Prepare
+                || statement instanceof Statement.SetValue;
+    }
+
     /** Returns the text to send to a server, where prepared statements have other names. */
     String serverText(PreparedStatementNames names) {
         return shape == null ? text : "EXECUTE " + names.nameOf(shape) + " " + arguments;
--- a/core/src/main/java/org/ragwortmoor/coordination/session/StatementContext.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/StatementContext.java
@@ -18,6 +18,9 @@
 
     PreparedStatementNames statementNames();
 
+    /** Returns the name of the caller's workspace; empty if it has none. */
+    String workspace();
+
     /** Ends the transaction of the session. */
     void transactionEnded();
 
--- a/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/DirectoryCodec.java
@@ -222,6 +222,12 @@
             builder.addRoutes(encode(route));
         }
         table.groups().forEach(group -> builder.addGroups(encode(group)));
+        table.workspaces()
+                .forEach(
+                        list -> {
+                            builder.setHasWorkspaces(true);
+                            list.forEach(w -> builder.addWorkspaces(WorkspaceCodec.encode(w)));
+                        });
         return withSource ? builder.setSource(table.source()).build() : builder.build();
     }
 
@@ -235,6 +241,7 @@
                         .setIdleTransactionMillis(change.idleTransactionMillis());
         change.changed().forEach(route -> builder.addChanged(encode(route)));
         change.groups().forEach(group -> builder.addGroups(encode(group)));
+        change.workspaces().forEach(changes -> WorkspaceCodec.encode(changes, builder));
         return builder.build();
     }
 
@@ -248,7 +255,8 @@
                                 message.getRemovedList(),
                                 decodeRouteList(message.getChangedList()),
                                 decodeGroups(message.getGroupsList()),
-                                message.getIdleTransactionMillis()));
+                                message.getIdleTransactionMillis(),
+                                WorkspaceCodec.decode(message)));
     }
 
     private static GroupLimitsMessage encode(GroupLimits group) {
@@ -286,6 +294,7 @@
                 .setTargetMillis(route.targetMillis())
                 .setPriority(route.priority())
                 .setMaxStalenessMillis(route.maxStalenessMillis())
+                .setKeyExempt(route.keyExempt())
                 .build();
     }
 
@@ -299,7 +308,8 @@
                 route.getTimeoutMillis(),
                 route.getTargetMillis(),
                 route.getPriority(),
-                route.getMaxStalenessMillis());
+                route.getMaxStalenessMillis(),
+                route.getKeyExempt());
     }
 
     private static RouteTable decode(RouteTableMessage message) throws MalformedException {
@@ -308,6 +318,7 @@
                 decodeRouteList(message.getRoutesList()),
                 decodeGroups(message.getGroupsList()),
                 message.getIdleTransactionMillis(),
+                WorkspaceCodec.decode(message),
                 message.getSource());
     }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/ForwardingCodec.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/ForwardingCodec.java
@@ -39,7 +39,8 @@
                         .setMode(statement.mode().name())
                         .setTransactionAgeMillis(statement.transactionAgeMillis())
                         .setValuesChanged(statement.valuesChanged())
-                        .setMayDecline(statement.mayDecline());
+                        .setMayDecline(statement.mayDecline())
+                        .setWorkspace(statement.workspace());
         for (PreparedShape shape : statement.shape()) {
             message.setShape(
                     PreparedShapeMessage.newBuilder()
@@ -85,7 +86,8 @@
                         ForwardedStatement.Mode.class, message.getMode(), "statement.mode"),
                 message.getTransactionAgeMillis(),
                 message.getValuesChanged(),
-                message.getMayDecline());
+                message.getMayDecline(),
+                message.getWorkspace());
     }
 
     /** Encodes the result of a statement; a lost result cannot be encoded. */
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragwortmoor_directory_RouteMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_WorkspaceMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_WorkspaceMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragwortmoor_directory_GroupLimitsMessage_descriptor;
   static final 
@@ -101,6 +106,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_ragwortmoor_directory_NodeReportMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_WorkspaceUsageMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_WorkspaceUsageMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_ragwortmoor_directory_QuotaGrantMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_ragwortmoor_directory_QuotaGrantMessage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor;
   static final 
@@ -151,114 +166,134 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\017directory.proto\022\025ragwortmoor.directory" +
-      "\"\272\001\n\014RouteMessage\022\014\n\004name\030\001 \001(\t\022\020\n\010datab" +
+      "\"\316\001\n\014RouteMessage\022\014\n\004name\030\001 \001(\t\022\020\n\010datab" +
       "ase\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\014\n\004kind\030\004 \001(\t\022" +
       "\r\n\005group\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\r\022\025" +
       "\n\rtarget_millis\030\007 \001(\r\022\020\n\010priority\030\010 \001(\r\022" +
-      "\034\n\024max_staleness_millis\030\t \001(\r\"R\n\022GroupLi" +
-      "mitsMessage\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connect" +
-      "ions\030\002 \001(\r\022\025\n\rsync_replicas\030\003 \001(\r\"\305\001\n\021Ro" +
-      "uteTableMessage\022\017\n\007version\030\001 \001(\004\0223\n\006rout" +
-      "es\030\002 \003(\0132#.ragwortmoor.directory.RouteMe" +
-      "ssage\0229\n\006groups\030\003 \003(\0132).ragwortmoor.dire" +
-      "ctory.GroupLimitsMessage\022\037\n\027idle_transac" +
-      "tion_millis\030\004 \001(\r\022\016\n\006source\030\005 \001(\t\"\244\001\n\rSe" +
-      "rverMessage\022\n\n\002id\030\001 \001(\t\022\026\n\016born_at_milli" +
-      "s\030\002 \001(\003\022\r\n\005group\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022" +
-      "\014\n\004zone\030\005 \001(\t\022\r\n\005slots\030\006 \001(\r\022\r\n\005state\030\007 " +
-      "\001(\t\022\017\n\007primary\030\010 \001(\010\022\022\n\nchanged_at\030\t \001(\004" +
-      "\"c\n\020PromotionMessage\022\r\n\005group\030\001 \001(\t\022\016\n\006s" +
-      "erver\030\002 \001(\t\022\016\n\006holder\030\003 \001(\t\022\r\n\005token\030\004 \001" +
-      "(\004\022\021\n\tconfirmed\030\005 \001(\010\"<\n\034PromotionConfir" +
-      "mationMessage\022\r\n\005group\030\001 \001(\t\022\r\n\005token\030\002 " +
-      "\001(\004\"5\n\021SuspensionMessage\022\r\n\005group\030\001 \001(\t\022" +
-      "\021\n\tsuspended\030\002 \001(\010\">\n\036ReplicationConfirm" +
-      "ationMessage\022\r\n\005group\030\001 \001(\t\022\r\n\005index\030\002 \001" +
-      "(\004\"]\n\020DepartureMessage\022\016\n\006server\030\001 \001(\t\022\031" +
-      "\n\021started_at_millis\030\002 \001(\003\022\017\n\007address\030\003 \001" +
-      "(\t\022\r\n\005index\030\004 \001(\004\"x\n\027GroupReplicationMes" +
-      "sage\022\r\n\005group\030\001 \001(\t\022\021\n\tsuspended\030\002 \001(\010\022;" +
-      "\n\ndepartures\030\003 \003(\0132\'.ragwortmoor.directo" +
-      "ry.DepartureMessage\"4\n\020FleetSizeMessage\022" +
-      "\017\n\007proxies\030\001 \001(\r\022\017\n\007domains\030\002 \001(\r\"\303\004\n\027Di" +
-      "rectoryCommandMessage\022>\n\nput_routes\030\001 \001(" +
-      "\0132(.ragwortmoor.directory.RouteTableMess" +
-      "ageH\000\022:\n\nput_server\030\002 \001(\0132$.ragwortmoor." +
-      "directory.ServerMessageH\000\022B\n\017order_promo" +
-      "tion\030\003 \001(\0132\'.ragwortmoor.directory.Promo" +
-      "tionMessageH\000\022\026\n\014read_barrier\030\004 \001(\004H\000\022\027\n" +
-      "\rcount_proxies\030\005 \001(\rH\000\022P\n\021confirm_promot" +
-      "ion\030\006 \001(\01323.ragwortmoor.directory.Promot" +
-      "ionConfirmationMessageH\000\022=\n\nfleet_size\030\007" +
-      " \001(\0132\'.ragwortmoor.directory.FleetSizeMe" +
-      "ssageH\000\022E\n\021record_suspension\030\010 \001(\0132(.rag" +
-      "wortmoor.directory.SuspensionMessageH\000\022T" +
-      "\n\023confirm_replication\030\t \001(\01325.ragwortmoo" +
-      "r.directory.ReplicationConfirmationMessa" +
-      "geH\000B\t\n\007command\"\342\002\n\030DirectorySnapshotMes" +
-      "sage\0228\n\006routes\030\001 \001(\0132(.ragwortmoor.direc" +
-      "tory.RouteTableMessage\022\027\n\017routes_revisio" +
-      "n\030\002 \001(\004\0225\n\007servers\030\003 \003(\0132$.ragwortmoor.d" +
-      "irectory.ServerMessage\022\030\n\020servers_revisi" +
-      "on\030\004 \001(\004\022;\n\npromotions\030\005 \003(\0132\'.ragwortmo" +
-      "or.directory.PromotionMessage\022\017\n\007proxies" +
-      "\030\006 \001(\r\022\017\n\007domains\030\007 \001(\r\022C\n\013replication\030\010" +
-      " \003(\0132..ragwortmoor.directory.GroupReplic" +
-      "ationMessage\"\214\001\n\031PrimaryObservationMessa" +
-      "ge\022\r\n\005group\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsil" +
-      "ent_millis\030\003 \001(\r\022\017\n\007refused\030\004 \001(\010\022\023\n\013hol" +
-      "ds_lease\030\005 \001(\010\022\023\n\013needs_lease\030\006 \001(\010\"\243\002\n\021" +
-      "NodeReportMessage\022\r\n\005proxy\030\001 \001(\t\022\027\n\017rout" +
-      "es_revision\030\002 \001(\004\022\030\n\020servers_revision\030\003 " +
-      "\001(\004\022C\n\tprimaries\030\004 \003(\01320.ragwortmoor.dir" +
-      "ectory.PrimaryObservationMessage\022\n\n\002id\030\005" +
-      " \001(\004\022\023\n\013incarnation\030\006 \001(\006\022\016\n\006domain\030\007 \001(" +
-      "\t\022\032\n\022forwarding_address\030\010 \001(\t\022\027\n\017neighbo" +
-      "urs_hash\030\t \001(\006\022\020\n\010stopping\030\n \001(\010\022\017\n\007rela" +
-      "yed\030\013 \001(\010\"\344\001\n\027RouteTableChangeMessage\022\025\n" +
-      "\rbase_revision\030\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\017\n" +
-      "\007removed\030\003 \003(\t\0224\n\007changed\030\004 \003(\0132#.ragwor" +
-      "tmoor.directory.RouteMessage\0229\n\006groups\030\005" +
+      "\034\n\024max_staleness_millis\030\t \001(\r\022\022\n\nkey_exe" +
+      "mpt\030\n \001(\010\"y\n\020WorkspaceMessage\022\014\n\004name\030\001 " +
+      "\001(\t\022\014\n\004keys\030\002 \003(\t\022\020\n\010priority\030\003 \001(\r\022\017\n\007l" +
+      "imited\030\004 \001(\010\022\027\n\017rate_per_second\030\005 \001(\r\022\r\n" +
+      "\005burst\030\006 \001(\r\"R\n\022GroupLimitsMessage\022\014\n\004na" +
+      "me\030\001 \001(\t\022\027\n\017max_connections\030\002 \001(\r\022\025\n\rsyn" +
+      "c_replicas\030\003 \001(\r\"\232\002\n\021RouteTableMessage\022\017" +
+      "\n\007version\030\001 \001(\004\0223\n\006routes\030\002 \003(\0132#.ragwor" +
+      "tmoor.directory.RouteMessage\0229\n\006groups\030\003" +
       " \003(\0132).ragwortmoor.directory.GroupLimits" +
-      "Message\022\037\n\027idle_transaction_millis\030\006 \001(\r" +
-      "\"1\n\020NeighbourMessage\022\014\n\004name\030\001 \001(\t\022\017\n\007ad" +
-      "dress\030\002 \001(\t\"\370\004\n\026DirectoryUpdateMessage\022\016" +
-      "\n\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007proxi" +
-      "es\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n\006rou" +
-      "tes\030\005 \001(\0132(.ragwortmoor.directory.RouteT" +
-      "ableMessage\022\030\n\020servers_revision\030\006 \001(\004\022\023\n" +
-      "\013has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132$.ra" +
-      "gwortmoor.directory.ServerMessage\022\021\n\trep" +
-      "ort_id\030\t \001(\004\022\024\n\014lease_millis\030\n \001(\r\022\027\n\017wi" +
-      "thheld_groups\030\013 \003(\t\022\017\n\007domains\030\014 \001(\r\022\027\n\017" +
-      "neighbours_hash\030\r \001(\006\022;\n\nneighbours\030\016 \003(" +
-      "\0132\'.ragwortmoor.directory.NeighbourMessa" +
-      "ge\022\026\n\016needs_identity\030\017 \001(\010\022E\n\rroutes_cha" +
-      "nge\030\020 \001(\0132..ragwortmoor.directory.RouteT" +
-      "ableChangeMessage\022\023\n\013destination\030\022 \001(\t\0227" +
-      "\n\006relays\030\023 \003(\0132\'.ragwortmoor.directory.N" +
-      "eighbourMessage\022\035\n\025servers_base_revision" +
-      "\030\021 \001(\004\"A\n\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013i" +
-      "ncarnation\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027Fo" +
-      "rwardedRequestMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput" +
-      "_routes\030\002 \001(\0132(.ragwortmoor.directory.Ro" +
-      "uteTableMessageH\000\022H\n\014announcement\030\003 \001(\0132" +
-      "0.ragwortmoor.directory.ServerAnnounceme" +
-      "ntMessageH\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007re" +
-      "quest\"c\n\031ServerAnnouncementMessage\0224\n\006se" +
-      "rver\030\001 \001(\0132$.ragwortmoor.directory.Serve" +
-      "rMessage\022\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedA" +
-      "nswerMessage\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(" +
-      "\t\022\016\n\006source\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:" +
-      "\n\006report\030\001 \001(\0132(.ragwortmoor.directory.N" +
-      "odeReportMessageH\000\022?\n\006update\030\002 \001(\0132-.rag" +
-      "wortmoor.directory.DirectoryUpdateMessag" +
-      "eH\000\0222\n\004join\030\003 \001(\0132\".ragwortmoor.director" +
-      "y.JoinMessageH\000\022A\n\007request\030\004 \001(\0132..ragwo" +
-      "rtmoor.directory.ForwardedRequestMessage" +
-      "H\000\022?\n\006answer\030\005 \001(\0132-.ragwortmoor.directo" +
-      "ry.ForwardedAnswerMessageH\000B\006\n\004bodyB!\n\035o" +
-      "rg.ragwortmoor.protocol.wireP\001b\006proto3"
+      "Message\022\037\n\027idle_transaction_millis\030\004 \001(\r" +
+      "\022\016\n\006source\030\005 \001(\t\022\026\n\016has_workspaces\030\006 \001(\010" +
+      "\022;\n\nworkspaces\030\007 \003(\0132\'.ragwortmoor.direc" +
+      "tory.WorkspaceMessage\"\244\001\n\rServerMessage\022" +
+      "\n\n\002id\030\001 \001(\t\022\026\n\016born_at_millis\030\002 \001(\003\022\r\n\005g" +
+      "roup\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\014\n\004zone\030\005 \001(" +
+      "\t\022\r\n\005slots\030\006 \001(\r\022\r\n\005state\030\007 \001(\t\022\017\n\007prima" +
+      "ry\030\010 \001(\010\022\022\n\nchanged_at\030\t \001(\004\"c\n\020Promotio" +
+      "nMessage\022\r\n\005group\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022" +
+      "\016\n\006holder\030\003 \001(\t\022\r\n\005token\030\004 \001(\004\022\021\n\tconfir" +
+      "med\030\005 \001(\010\"<\n\034PromotionConfirmationMessag" +
+      "e\022\r\n\005group\030\001 \001(\t\022\r\n\005token\030\002 \001(\004\"5\n\021Suspe" +
+      "nsionMessage\022\r\n\005group\030\001 \001(\t\022\021\n\tsuspended" +
+      "\030\002 \001(\010\">\n\036ReplicationConfirmationMessage" +
+      "\022\r\n\005group\030\001 \001(\t\022\r\n\005index\030\002 \001(\004\"]\n\020Depart" +
+      "ureMessage\022\016\n\006server\030\001 \001(\t\022\031\n\021started_at" +
+      "_millis\030\002 \001(\003\022\017\n\007address\030\003 \001(\t\022\r\n\005index\030" +
+      "\004 \001(\004\"x\n\027GroupReplicationMessage\022\r\n\005grou" +
+      "p\030\001 \001(\t\022\021\n\tsuspended\030\002 \001(\010\022;\n\ndepartures" +
+      "\030\003 \003(\0132\'.ragwortmoor.directory.Departure" +
+      "Message\"4\n\020FleetSizeMessage\022\017\n\007proxies\030\001" +
+      " \001(\r\022\017\n\007domains\030\002 \001(\r\"\303\004\n\027DirectoryComma" +
+      "ndMessage\022>\n\nput_routes\030\001 \001(\0132(.ragwortm" +
+      "oor.directory.RouteTableMessageH\000\022:\n\nput" +
+      "_server\030\002 \001(\0132$.ragwortmoor.directory.Se" +
+      "rverMessageH\000\022B\n\017order_promotion\030\003 \001(\0132\'" +
+      ".ragwortmoor.directory.PromotionMessageH" +
+      "\000\022\026\n\014read_barrier\030\004 \001(\004H\000\022\027\n\rcount_proxi" +
+      "es\030\005 \001(\rH\000\022P\n\021confirm_promotion\030\006 \001(\01323." +
+      "ragwortmoor.directory.PromotionConfirmat" +
+      "ionMessageH\000\022=\n\nfleet_size\030\007 \001(\0132\'.ragwo" +
+      "rtmoor.directory.FleetSizeMessageH\000\022E\n\021r" +
+      "ecord_suspension\030\010 \001(\0132(.ragwortmoor.dir" +
+      "ectory.SuspensionMessageH\000\022T\n\023confirm_re" +
+      "plication\030\t \001(\01325.ragwortmoor.directory." +
+      "ReplicationConfirmationMessageH\000B\t\n\007comm" +
+      "and\"\342\002\n\030DirectorySnapshotMessage\0228\n\006rout" +
+      "es\030\001 \001(\0132(.ragwortmoor.directory.RouteTa" +
+      "bleMessage\022\027\n\017routes_revision\030\002 \001(\004\0225\n\007s" +
+      "ervers\030\003 \003(\0132$.ragwortmoor.directory.Ser" +
+      "verMessage\022\030\n\020servers_revision\030\004 \001(\004\022;\n\n" +
+      "promotions\030\005 \003(\0132\'.ragwortmoor.directory" +
+      ".PromotionMessage\022\017\n\007proxies\030\006 \001(\r\022\017\n\007do" +
+      "mains\030\007 \001(\r\022C\n\013replication\030\010 \003(\0132..ragwo" +
+      "rtmoor.directory.GroupReplicationMessage" +
+      "\"\214\001\n\031PrimaryObservationMessage\022\r\n\005group\030" +
+      "\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003" +
+      " \001(\r\022\017\n\007refused\030\004 \001(\010\022\023\n\013holds_lease\030\005 \001" +
+      "(\010\022\023\n\013needs_lease\030\006 \001(\010\"\365\002\n\021NodeReportMe" +
+      "ssage\022\r\n\005proxy\030\001 \001(\t\022\027\n\017routes_revision\030" +
+      "\002 \001(\004\022\030\n\020servers_revision\030\003 \001(\004\022C\n\tprima" +
+      "ries\030\004 \003(\01320.ragwortmoor.directory.Prima" +
+      "ryObservationMessage\022\n\n\002id\030\005 \001(\004\022\023\n\013inca" +
+      "rnation\030\006 \001(\006\022\016\n\006domain\030\007 \001(\t\022\032\n\022forward" +
+      "ing_address\030\010 \001(\t\022\027\n\017neighbours_hash\030\t \001" +
+      "(\006\022\020\n\010stopping\030\n \001(\010\022\017\n\007relayed\030\013 \001(\010\022\023\n" +
+      "\013quota_epoch\030\014 \001(\004\022;\n\005usage\030\r \003(\0132,.ragw" +
+      "ortmoor.directory.WorkspaceUsageMessage\"" +
+      "\237\001\n\025WorkspaceUsageMessage\022\021\n\tworkspace\030\001" +
+      " \001(\t\022\022\n\nused_total\030\002 \001(\004\022\026\n\016returned_tot" +
+      "al\030\003 \001(\004\022\021\n\tavailable\030\004 \001(\r\022\023\n\013recent_us" +
+      "ed\030\005 \001(\r\022\017\n\007waiting\030\006 \001(\r\022\016\n\006wanted\030\007 \001(" +
+      "\r\"Y\n\021QuotaGrantMessage\022\021\n\tworkspace\030\001 \001(" +
+      "\t\022\025\n\rgranted_total\030\002 \001(\004\022\032\n\022retry_after_" +
+      "millis\030\003 \001(\r\"\335\002\n\027RouteTableChangeMessage" +
+      "\022\025\n\rbase_revision\030\001 \001(\004\022\017\n\007version\030\002 \001(\004" +
+      "\022\017\n\007removed\030\003 \003(\t\0224\n\007changed\030\004 \003(\0132#.rag" +
+      "wortmoor.directory.RouteMessage\0229\n\006group" +
+      "s\030\005 \003(\0132).ragwortmoor.directory.GroupLim" +
+      "itsMessage\022\037\n\027idle_transaction_millis\030\006 " +
+      "\001(\r\022\026\n\016has_workspaces\030\007 \001(\010\022\032\n\022removed_w" +
+      "orkspaces\030\010 \003(\t\022C\n\022changed_workspaces\030\t " +
+      "\003(\0132\'.ragwortmoor.directory.WorkspaceMes" +
+      "sage\"1\n\020NeighbourMessage\022\014\n\004name\030\001 \001(\t\022\017" +
+      "\n\007address\030\002 \001(\t\"\344\005\n\026DirectoryUpdateMessa" +
+      "ge\022\016\n\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007p" +
+      "roxies\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n" +
+      "\006routes\030\005 \001(\0132(.ragwortmoor.directory.Ro" +
+      "uteTableMessage\022\030\n\020servers_revision\030\006 \001(" +
+      "\004\022\023\n\013has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132" +
+      "$.ragwortmoor.directory.ServerMessage\022\021\n" +
+      "\treport_id\030\t \001(\004\022\024\n\014lease_millis\030\n \001(\r\022\027" +
+      "\n\017withheld_groups\030\013 \003(\t\022\017\n\007domains\030\014 \001(\r" +
+      "\022\027\n\017neighbours_hash\030\r \001(\006\022;\n\nneighbours\030" +
+      "\016 \003(\0132\'.ragwortmoor.directory.NeighbourM" +
+      "essage\022\026\n\016needs_identity\030\017 \001(\010\022E\n\rroutes" +
+      "_change\030\020 \001(\0132..ragwortmoor.directory.Ro" +
+      "uteTableChangeMessage\022\023\n\013destination\030\022 \001" +
+      "(\t\0227\n\006relays\030\023 \003(\0132\'.ragwortmoor.directo" +
+      "ry.NeighbourMessage\022\035\n\025servers_base_revi" +
+      "sion\030\021 \001(\004\022\033\n\023confirmed_report_id\030\024 \001(\004\022" +
+      "\023\n\013quota_epoch\030\025 \001(\004\0228\n\006grants\030\026 \003(\0132(.r" +
+      "agwortmoor.directory.QuotaGrantMessage\"A" +
+      "\n\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnati" +
+      "on\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedR" +
+      "equestMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030" +
+      "\002 \001(\0132(.ragwortmoor.directory.RouteTable" +
+      "MessageH\000\022H\n\014announcement\030\003 \001(\01320.ragwor" +
+      "tmoor.directory.ServerAnnouncementMessag" +
+      "eH\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007request\"c\n" +
+      "\031ServerAnnouncementMessage\0224\n\006server\030\001 \001" +
+      "(\0132$.ragwortmoor.directory.ServerMessage" +
+      "\022\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedAnswerMes" +
+      "sage\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006sou" +
+      "rce\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:\n\006report" +
+      "\030\001 \001(\0132(.ragwortmoor.directory.NodeRepor" +
+      "tMessageH\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor" +
+      ".directory.DirectoryUpdateMessageH\000\0222\n\004j" +
+      "oin\030\003 \001(\0132\".ragwortmoor.directory.JoinMe" +
+      "ssageH\000\022A\n\007request\030\004 \001(\0132..ragwortmoor.d" +
+      "irectory.ForwardedRequestMessageH\000\022?\n\006an" +
+      "swer\030\005 \001(\0132-.ragwortmoor.directory.Forwa" +
+      "rdedAnswerMessageH\000B\006\n\004bodyB!\n\035org.ragwo" +
+      "rtmoor.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -269,135 +304,153 @@
     internal_static_ragwortmoor_directory_RouteMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_RouteMessage_descriptor,
-        new java.lang.String[] { "Name", "Database", "Prefix", "Kind", "Group", "TimeoutMillis", "TargetMillis", "Priority", "MaxStalenessMillis", });
-    internal_static_ragwortmoor_directory_GroupLimitsMessage_descriptor =
+        new java.lang.String[] { "Name", "Database", "Prefix", "Kind", "Group", "TimeoutMillis", "TargetMillis", "Priority", "MaxStalenessMillis", "KeyExempt", });
+    internal_static_ragwortmoor_directory_WorkspaceMessage_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_ragwortmoor_directory_WorkspaceMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_WorkspaceMessage_descriptor,
+        new java.lang.String[] { "Name", "Keys", "Priority", "Limited", "RatePerSecond", "Burst", });
+    internal_static_ragwortmoor_directory_GroupLimitsMessage_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_ragwortmoor_directory_GroupLimitsMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_GroupLimitsMessage_descriptor,
         new java.lang.String[] { "Name", "MaxConnections", "SyncReplicas", });
     internal_static_ragwortmoor_directory_RouteTableMessage_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_ragwortmoor_directory_RouteTableMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_RouteTableMessage_descriptor,
-        new java.lang.String[] { "Version", "Routes", "Groups", "IdleTransactionMillis", "Source", });
+        new java.lang.String[] { "Version", "Routes", "Groups", "IdleTransactionMillis", "Source", "HasWorkspaces", "Workspaces", });
     internal_static_ragwortmoor_directory_ServerMessage_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_ragwortmoor_directory_ServerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ServerMessage_descriptor,
         new java.lang.String[] { "Id", "BornAtMillis", "Group", "Address", "Zone", "Slots", "State", "Primary", "ChangedAt", });
     internal_static_ragwortmoor_directory_PromotionMessage_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_ragwortmoor_directory_PromotionMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_PromotionMessage_descriptor,
         new java.lang.String[] { "Group", "Server", "Holder", "Token", "Confirmed", });
     internal_static_ragwortmoor_directory_PromotionConfirmationMessage_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_ragwortmoor_directory_PromotionConfirmationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_PromotionConfirmationMessage_descriptor,
         new java.lang.String[] { "Group", "Token", });
     internal_static_ragwortmoor_directory_SuspensionMessage_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_ragwortmoor_directory_SuspensionMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_SuspensionMessage_descriptor,
         new java.lang.String[] { "Group", "Suspended", });
     internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ReplicationConfirmationMessage_descriptor,
         new java.lang.String[] { "Group", "Index", });
     internal_static_ragwortmoor_directory_DepartureMessage_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_ragwortmoor_directory_DepartureMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DepartureMessage_descriptor,
         new java.lang.String[] { "Server", "StartedAtMillis", "Address", "Index", });
     internal_static_ragwortmoor_directory_GroupReplicationMessage_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_ragwortmoor_directory_GroupReplicationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_GroupReplicationMessage_descriptor,
         new java.lang.String[] { "Group", "Suspended", "Departures", });
     internal_static_ragwortmoor_directory_FleetSizeMessage_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_ragwortmoor_directory_FleetSizeMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_FleetSizeMessage_descriptor,
         new java.lang.String[] { "Proxies", "Domains", });
     internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_ragwortmoor_directory_DirectoryCommandMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryCommandMessage_descriptor,
         new java.lang.String[] { "PutRoutes", "PutServer", "OrderPromotion", "ReadBarrier", "CountProxies", "ConfirmPromotion", "FleetSize", "RecordSuspension", "ConfirmReplication", "Command", });
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_ragwortmoor_directory_DirectorySnapshotMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectorySnapshotMessage_descriptor,
         new java.lang.String[] { "Routes", "RoutesRevision", "Servers", "ServersRevision", "Promotions", "Proxies", "Domains", "Replication", });
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_ragwortmoor_directory_PrimaryObservationMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_PrimaryObservationMessage_descriptor,
         new java.lang.String[] { "Group", "Server", "SilentMillis", "Refused", "HoldsLease", "NeedsLease", });
     internal_static_ragwortmoor_directory_NodeReportMessage_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_ragwortmoor_directory_NodeReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NodeReportMessage_descriptor,
-        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", "Relayed", });
+        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", "Relayed", "QuotaEpoch", "Usage", });
+    internal_static_ragwortmoor_directory_WorkspaceUsageMessage_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_ragwortmoor_directory_WorkspaceUsageMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_WorkspaceUsageMessage_descriptor,
+        new java.lang.String[] { "Workspace", "UsedTotal", "ReturnedTotal", "Available", "RecentUsed", "Waiting", "Wanted", });
+    internal_static_ragwortmoor_directory_QuotaGrantMessage_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_ragwortmoor_directory_QuotaGrantMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_ragwortmoor_directory_QuotaGrantMessage_descriptor,
+        new java.lang.String[] { "Workspace", "GrantedTotal", "RetryAfterMillis", });
     internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(18);
     internal_static_ragwortmoor_directory_RouteTableChangeMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_RouteTableChangeMessage_descriptor,
-        new java.lang.String[] { "BaseRevision", "Version", "Removed", "Changed", "Groups", "IdleTransactionMillis", });
+        new java.lang.String[] { "BaseRevision", "Version", "Removed", "Changed", "Groups", "IdleTransactionMillis", "HasWorkspaces", "RemovedWorkspaces", "ChangedWorkspaces", });
     internal_static_ragwortmoor_directory_NeighbourMessage_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(19);
     internal_static_ragwortmoor_directory_NeighbourMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NeighbourMessage_descriptor,
         new java.lang.String[] { "Name", "Address", });
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(20);
     internal_static_ragwortmoor_directory_DirectoryUpdateMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryUpdateMessage_descriptor,
-        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", "Domains", "NeighboursHash", "Neighbours", "NeedsIdentity", "RoutesChange", "Destination", "Relays", "ServersBaseRevision", });
+        new java.lang.String[] { "Leader", "Members", "Proxies", "RoutesRevision", "Routes", "ServersRevision", "HasServers", "Servers", "ReportId", "LeaseMillis", "WithheldGroups", "Domains", "NeighboursHash", "Neighbours", "NeedsIdentity", "RoutesChange", "Destination", "Relays", "ServersBaseRevision", "ConfirmedReportId", "QuotaEpoch", "Grants", });
     internal_static_ragwortmoor_directory_JoinMessage_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(21);
     internal_static_ragwortmoor_directory_JoinMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_JoinMessage_descriptor,
         new java.lang.String[] { "Node", "Incarnation", "Address", });
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(22);
     internal_static_ragwortmoor_directory_ForwardedRequestMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedRequestMessage_descriptor,
         new java.lang.String[] { "Id", "PutRoutes", "Announcement", "ReadRoutes", "Request", });
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(23);
     internal_static_ragwortmoor_directory_ServerAnnouncementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ServerAnnouncementMessage_descriptor,
         new java.lang.String[] { "Server", "Sequence", });
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(24);
     internal_static_ragwortmoor_directory_ForwardedAnswerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_ForwardedAnswerMessage_descriptor,
         new java.lang.String[] { "Id", "Outcome", "Source", });
     internal_static_ragwortmoor_directory_DirectoryMessage_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(25);
     internal_static_ragwortmoor_directory_DirectoryMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_DirectoryMessage_descriptor,
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessage.java
@@ -36,6 +36,7 @@
     neighbours_ = java.util.Collections.emptyList();
     destination_ = "";
     relays_ = java.util.Collections.emptyList();
+    grants_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -541,6 +542,77 @@
     return serversBaseRevision_;
   }
 
+  public static final int CONFIRMED_REPORT_ID_FIELD_NUMBER = 20;
+  private long confirmedReportId_ = 0L;
+  /**
+   * <pre>
+   * Newest report of the receiver after whose arrival a majority has confirmed the leader; 0 if none.
+   * </pre>
+   *
+   * <code>uint64 confirmed_report_id = 20;</code>
+   * @return The confirmedReportId.
+   */
+  @java.lang.Override
+  public long getConfirmedReportId() {
+    return confirmedReportId_;
+  }
+
+  public static final int QUOTA_EPOCH_FIELD_NUMBER = 21;
+  private long quotaEpoch_ = 0L;
+  /**
+   * <pre>
+   * Epoch of the grants; 0 if the update contains none.
+   * </pre>
+   *
+   * <code>uint64 quota_epoch = 21;</code>
+   * @return The quotaEpoch.
+   */
+  @java.lang.Override
+  public long getQuotaEpoch() {
+    return quotaEpoch_;
+  }
+
+  public static final int GRANTS_FIELD_NUMBER = 22;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragwortmoor.protocol.wire.QuotaGrantMessage> grants_;
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortmoor.protocol.wire.QuotaGrantMessage> getGrantsList() {
+    return grants_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder> 
+      getGrantsOrBuilderList() {
+    return grants_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  @java.lang.Override
+  public int getGrantsCount() {
+    return grants_.size();
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.QuotaGrantMessage getGrants(int index) {
+    return grants_.get(index);
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder getGrantsOrBuilder(
+      int index) {
+    return grants_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -612,6 +684,15 @@
     for (int i = 0; i < relays_.size(); i++) {
       output.writeMessage(19, relays_.get(i));
     }
+    if (confirmedReportId_ != 0L) {
+      output.writeUInt64(20, confirmedReportId_);
+    }
+    if (quotaEpoch_ != 0L) {
+      output.writeUInt64(21, quotaEpoch_);
+    }
+    for (int i = 0; i < grants_.size(); i++) {
+      output.writeMessage(22, grants_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -704,6 +785,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(19, relays_.get(i));
     }
+    if (confirmedReportId_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(20, confirmedReportId_);
+    }
+    if (quotaEpoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(21, quotaEpoch_);
+    }
+    for (int i = 0; i < grants_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, grants_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -763,6 +856,12 @@
         .equals(other.getRelaysList())) return false;
     if (getServersBaseRevision()
         != other.getServersBaseRevision()) return false;
+    if (getConfirmedReportId()
+        != other.getConfirmedReportId()) return false;
+    if (getQuotaEpoch()
+        != other.getQuotaEpoch()) return false;
+    if (!getGrantsList()
+        .equals(other.getGrantsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -834,6 +933,16 @@
     hash = (37 * hash) + SERVERS_BASE_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getServersBaseRevision());
+    hash = (37 * hash) + CONFIRMED_REPORT_ID_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfirmedReportId());
+    hash = (37 * hash) + QUOTA_EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getQuotaEpoch());
+    if (getGrantsCount() > 0) {
+      hash = (37 * hash) + GRANTS_FIELD_NUMBER;
+      hash = (53 * hash) + getGrantsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -969,6 +1078,7 @@
         internalGetNeighboursFieldBuilder();
         internalGetRoutesChangeFieldBuilder();
         internalGetRelaysFieldBuilder();
+        internalGetGrantsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1022,6 +1132,15 @@
       }
       bitField0_ = (bitField0_ & ~0x00020000);
       serversBaseRevision_ = 0L;
+      confirmedReportId_ = 0L;
+      quotaEpoch_ = 0L;
+      if (grantsBuilder_ == null) {
+        grants_ = java.util.Collections.emptyList();
+      } else {
+        grants_ = null;
+        grantsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00200000);
       return this;
     }
 
@@ -1082,6 +1201,15 @@
       } else {
         result.relays_ = relaysBuilder_.build();
       }
+      if (grantsBuilder_ == null) {
+        if (((bitField0_ & 0x00200000) != 0)) {
+          grants_ = java.util.Collections.unmodifiableList(grants_);
+          bitField0_ = (bitField0_ & ~0x00200000);
+        }
+        result.grants_ = grants_;
+      } else {
+        result.grants_ = grantsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragwortmoor.protocol.wire.DirectoryUpdateMessage result) {
@@ -1143,6 +1271,12 @@
       if (((from_bitField0_ & 0x00040000) != 0)) {
         result.serversBaseRevision_ = serversBaseRevision_;
       }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.confirmedReportId_ = confirmedReportId_;
+      }
+      if (((from_bitField0_ & 0x00100000) != 0)) {
+        result.quotaEpoch_ = quotaEpoch_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1300,6 +1434,38 @@
       if (other.getServersBaseRevision() != 0L) {
         setServersBaseRevision(other.getServersBaseRevision());
       }
+      if (other.getConfirmedReportId() != 0L) {
+        setConfirmedReportId(other.getConfirmedReportId());
+      }
+      if (other.getQuotaEpoch() != 0L) {
+        setQuotaEpoch(other.getQuotaEpoch());
+      }
+      if (grantsBuilder_ == null) {
+        if (!other.grants_.isEmpty()) {
+          if (grants_.isEmpty()) {
+            grants_ = other.grants_;
+            bitField0_ = (bitField0_ & ~0x00200000);
+          } else {
+            ensureGrantsIsMutable();
+            grants_.addAll(other.grants_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.grants_.isEmpty()) {
+          if (grantsBuilder_.isEmpty()) {
+            grantsBuilder_.dispose();
+            grantsBuilder_ = null;
+            grants_ = other.grants_;
+            bitField0_ = (bitField0_ & ~0x00200000);
+            grantsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetGrantsFieldBuilder() : null;
+          } else {
+            grantsBuilder_.addAllMessages(other.grants_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1451,6 +1617,29 @@
               }
               break;
             } // case 154
+            case 160: {
+              confirmedReportId_ = input.readUInt64();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 160
+            case 168: {
+              quotaEpoch_ = input.readUInt64();
+              bitField0_ |= 0x00100000;
+              break;
+            } // case 168
+            case 178: {
+              org.ragwortmoor.protocol.wire.QuotaGrantMessage m =
+                  input.readMessage(
+                      org.ragwortmoor.protocol.wire.QuotaGrantMessage.parser(),
+                      extensionRegistry);
+              if (grantsBuilder_ == null) {
+                ensureGrantsIsMutable();
+                grants_.add(m);
+              } else {
+                grantsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 178
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3312,6 +3501,334 @@
       return this;
     }
 
+    private long confirmedReportId_ ;
+    /**
+     * <pre>
+     * Newest report of the receiver after whose arrival a majority has confirmed the leader; 0 if none.
+     * </pre>
+     *
+     * <code>uint64 confirmed_report_id = 20;</code>
+     * @return The confirmedReportId.
+     */
+    @java.lang.Override
+    public long getConfirmedReportId() {
+      return confirmedReportId_;
+    }
+    /**
+     * <pre>
+     * Newest report of the receiver after whose arrival a majority has confirmed the leader; 0 if none.
+     * </pre>
+     *
+     * <code>uint64 confirmed_report_id = 20;</code>
+     * @param value The confirmedReportId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmedReportId(long value) {
+
+      confirmedReportId_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Newest report of the receiver after whose arrival a majority has confirmed the leader; 0 if none.
+     * </pre>
+     *
+     * <code>uint64 confirmed_report_id = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmedReportId() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      confirmedReportId_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long quotaEpoch_ ;
+    /**
+     * <pre>
+     * Epoch of the grants; 0 if the update contains none.
+     * </pre>
+     *
+     * <code>uint64 quota_epoch = 21;</code>
+     * @return The quotaEpoch.
+     */
+    @java.lang.Override
+    public long getQuotaEpoch() {
+      return quotaEpoch_;
+    }
+    /**
+     * <pre>
+     * Epoch of the grants; 0 if the update contains none.
+     * </pre>
+     *
+     * <code>uint64 quota_epoch = 21;</code>
+     * @param value The quotaEpoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQuotaEpoch(long value) {
+
+      quotaEpoch_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Epoch of the grants; 0 if the update contains none.
+     * </pre>
+     *
+     * <code>uint64 quota_epoch = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQuotaEpoch() {
+      bitField0_ = (bitField0_ & ~0x00100000);
+      quotaEpoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.ragwortmoor.protocol.wire.QuotaGrantMessage> grants_ =
+      java.util.Collections.emptyList();
+    private void ensureGrantsIsMutable() {
+      if (!((bitField0_ & 0x00200000) != 0)) {
+        grants_ = new java.util.ArrayList<org.ragwortmoor.protocol.wire.QuotaGrantMessage>(grants_);
+        bitField0_ |= 0x00200000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.QuotaGrantMessage, org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder, org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder> grantsBuilder_;
+
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.QuotaGrantMessage> getGrantsList() {
+      if (grantsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(grants_);
+      } else {
+        return grantsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public int getGrantsCount() {
+      if (grantsBuilder_ == null) {
+        return grants_.size();
+      } else {
+        return grantsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public org.ragwortmoor.protocol.wire.QuotaGrantMessage getGrants(int index) {
+      if (grantsBuilder_ == null) {
+        return grants_.get(index);
+      } else {
+        return grantsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder setGrants(
+        int index, org.ragwortmoor.protocol.wire.QuotaGrantMessage value) {
+      if (grantsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureGrantsIsMutable();
+        grants_.set(index, value);
+        onChanged();
+      } else {
+        grantsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder setGrants(
+        int index, org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder builderForValue) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        grantsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder addGrants(org.ragwortmoor.protocol.wire.QuotaGrantMessage value) {
+      if (grantsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureGrantsIsMutable();
+        grants_.add(value);
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder addGrants(
+        int index, org.ragwortmoor.protocol.wire.QuotaGrantMessage value) {
+      if (grantsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureGrantsIsMutable();
+        grants_.add(index, value);
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder addGrants(
+        org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder builderForValue) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.add(builderForValue.build());
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder addGrants(
+        int index, org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder builderForValue) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        grantsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder addAllGrants(
+        java.lang.Iterable<? extends org.ragwortmoor.protocol.wire.QuotaGrantMessage> values) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, grants_);
+        onChanged();
+      } else {
+        grantsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder clearGrants() {
+      if (grantsBuilder_ == null) {
+        grants_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00200000);
+        onChanged();
+      } else {
+        grantsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public Builder removeGrants(int index) {
+      if (grantsBuilder_ == null) {
+        ensureGrantsIsMutable();
+        grants_.remove(index);
+        onChanged();
+      } else {
+        grantsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder getGrantsBuilder(
+        int index) {
+      return internalGetGrantsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder getGrantsOrBuilder(
+        int index) {
+      if (grantsBuilder_ == null) {
+        return grants_.get(index);  } else {
+        return grantsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public java.util.List<? extends org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder> 
+         getGrantsOrBuilderList() {
+      if (grantsBuilder_ != null) {
+        return grantsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(grants_);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder addGrantsBuilder() {
+      return internalGetGrantsFieldBuilder().addBuilder(
+          org.ragwortmoor.protocol.wire.QuotaGrantMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder addGrantsBuilder(
+        int index) {
+      return internalGetGrantsFieldBuilder().addBuilder(
+          index, org.ragwortmoor.protocol.wire.QuotaGrantMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder> 
+         getGrantsBuilderList() {
+      return internalGetGrantsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.QuotaGrantMessage, org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder, org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder> 
+        internalGetGrantsFieldBuilder() {
+      if (grantsBuilder_ == null) {
+        grantsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragwortmoor.protocol.wire.QuotaGrantMessage, org.ragwortmoor.protocol.wire.QuotaGrantMessage.Builder, org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder>(
+                grants_,
+                ((bitField0_ & 0x00200000) != 0),
+                getParentForChildren(),
+                isClean());
+        grants_ = null;
+      }
+      return grantsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.DirectoryUpdateMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/DirectoryUpdateMessageOrBuilder.java
@@ -319,4 +319,48 @@
    * @return The serversBaseRevision.
    */
   long getServersBaseRevision();
+
+  /**
+   * <pre>
+   * Newest report of the receiver after whose arrival a majority has confirmed the leader; 0 if none.
+   * </pre>
+   *
+   * <code>uint64 confirmed_report_id = 20;</code>
+   * @return The confirmedReportId.
+   */
+  long getConfirmedReportId();
+
+  /**
+   * <pre>
+   * Epoch of the grants; 0 if the update contains none.
+   * </pre>
+   *
+   * <code>uint64 quota_epoch = 21;</code>
+   * @return The quotaEpoch.
+   */
+  long getQuotaEpoch();
+
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  java.util.List<org.ragwortmoor.protocol.wire.QuotaGrantMessage> 
+      getGrantsList();
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  org.ragwortmoor.protocol.wire.QuotaGrantMessage getGrants(int index);
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  int getGrantsCount();
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  java.util.List<? extends org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder> 
+      getGrantsOrBuilderList();
+  /**
+   * <code>repeated .ragwortmoor.directory.QuotaGrantMessage grants = 22;</code>
+   */
+  org.ragwortmoor.protocol.wire.QuotaGrantMessageOrBuilder getGrantsOrBuilder(
+      int index);
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedStatementMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedStatementMessage.java
@@ -33,6 +33,7 @@
     values_ = java.util.Collections.emptyList();
     lastCommit_ = "";
     mode_ = "";
+    workspace_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -373,6 +374,53 @@
     return mayDecline_;
   }
 
+  public static final int WORKSPACE_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workspace_ = "";
+  /**
+   * <pre>
+   * Workspace of the caller; empty if it has none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workspace_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Workspace of the caller; empty if it has none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workspace_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -423,6 +471,9 @@
     if (mayDecline_ != false) {
       output.writeBool(12, mayDecline_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 13, workspace_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -476,6 +527,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(12, mayDecline_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(13, workspace_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -521,6 +575,8 @@
         != other.getValuesChanged()) return false;
     if (getMayDecline()
         != other.getMayDecline()) return false;
+    if (!getWorkspace()
+        .equals(other.getWorkspace())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -567,6 +623,8 @@
     hash = (37 * hash) + MAY_DECLINE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getMayDecline());
+    hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkspace().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -732,6 +790,7 @@
       transactionAgeMillis_ = 0L;
       valuesChanged_ = false;
       mayDecline_ = false;
+      workspace_ = "";
       return this;
     }
 
@@ -818,6 +877,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.mayDecline_ = mayDecline_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.workspace_ = workspace_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -900,6 +962,11 @@
       if (other.getMayDecline() != false) {
         setMayDecline(other.getMayDecline());
       }
+      if (!other.getWorkspace().isEmpty()) {
+        workspace_ = other.workspace_;
+        bitField0_ |= 0x00001000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -998,6 +1065,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 106: {
+              workspace_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2001,6 +2073,98 @@
       return this;
     }
 
+    private java.lang.Object workspace_ = "";
+    /**
+     * <pre>
+     * Workspace of the caller; empty if it has none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @return The workspace.
+     */
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Workspace of the caller; empty if it has none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @return The bytes for workspace.
+     */
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Workspace of the caller; empty if it has none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workspace_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Workspace of the caller; empty if it has none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      workspace_ = getDefaultInstance().getWorkspace();
+      bitField0_ = (bitField0_ & ~0x00001000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Workspace of the caller; empty if it has none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workspace_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.forwarding.ForwardedStatementMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedStatementMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/ForwardedStatementMessageOrBuilder.java
@@ -161,4 +161,24 @@
    * @return The mayDecline.
    */
   boolean getMayDecline();
+
+  /**
+   * <pre>
+   * Workspace of the caller; empty if it has none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <pre>
+   * Workspace of the caller; empty if it has none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Forwarding.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Forwarding.java
@@ -74,7 +74,7 @@
       "ng\032\017directory.proto\"2\n\023SessionValueMessa" +
       "ge\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"H\n\024Prepa" +
       "redShapeMessage\022\016\n\006writes\030\001 \001(\010\022\r\n\005shape" +
-      "\030\002 \001(\t\022\021\n\targuments\030\003 \001(\t\"\362\002\n\031ForwardedS" +
+      "\030\002 \001(\t\022\021\n\targuments\030\003 \001(\t\"\205\003\n\031ForwardedS" +
       "tatementMessage\022\016\n\006stream\030\001 \001(\004\022\r\n\005first" +
       "\030\002 \001(\010\022\n\n\002id\030\003 \001(\t\022\014\n\004text\030\004 \001(\t\022;\n\005shap" +
       "e\030\005 \001(\0132,.ragwortmoor.forwarding.Prepare" +
@@ -83,26 +83,26 @@
       "\0132+.ragwortmoor.forwarding.SessionValueM" +
       "essage\022\023\n\013last_commit\030\010 \001(\t\022\014\n\004mode\030\t \001(" +
       "\t\022\036\n\026transaction_age_millis\030\n \001(\004\022\026\n\016val" +
-      "ues_changed\030\013 \001(\010\022\023\n\013may_decline\030\014 \001(\010\"q" +
-      "\n\027ForwardedSuccessMessage\022\014\n\004rows\030\001 \003(\t\022" +
-      "\021\n\tsignature\030\002 \001(\t\022\020\n\010position\030\003 \001(\t\022\023\n\013" +
-      "last_commit\030\004 \001(\t\022\016\n\006server\030\005 \001(\t\"c\n\027For" +
-      "wardedFailureMessage\022\014\n\004code\030\001 \001(\t\022\016\n\006re" +
-      "ason\030\002 \001(\t\022\016\n\006server\030\003 \001(\t\022\032\n\022retry_afte" +
-      "r_millis\030\004 \001(\r\"\317\001\n\026ForwardedResultMessag" +
-      "e\022\016\n\006stream\030\001 \001(\004\022D\n\tsucceeded\030\002 \001(\0132/.r" +
-      "agwortmoor.forwarding.ForwardedSuccessMe" +
-      "ssageH\000\022A\n\006failed\030\003 \001(\0132/.ragwortmoor.fo" +
-      "rwarding.ForwardedFailureMessageH\000\022\022\n\010de" +
-      "clined\030\004 \001(\tH\000B\010\n\006result\"\207\002\n\017ForwardingF" +
-      "rame\022\017\n\005hello\030\001 \001(\tH\000\022F\n\tstatement\030\002 \001(\013" +
-      "21.ragwortmoor.forwarding.ForwardedState" +
-      "mentMessageH\000\022@\n\006result\030\003 \001(\0132..ragwortm" +
-      "oor.forwarding.ForwardedResultMessageH\000\022" +
-      "\r\n\003end\030\004 \001(\004H\000\022\016\n\004ping\030\005 \001(\004H\000\022\016\n\004pong\030\006" +
-      " \001(\004H\000\022\020\n\006report\030\007 \001(\014H\000\022\020\n\006update\030\010 \001(\014" +
-      "H\000B\006\n\004bodyB!\n\035org.ragwortmoor.protocol.w" +
-      "ireP\001b\006proto3"
+      "ues_changed\030\013 \001(\010\022\023\n\013may_decline\030\014 \001(\010\022\021" +
+      "\n\tworkspace\030\r \001(\t\"q\n\027ForwardedSuccessMes" +
+      "sage\022\014\n\004rows\030\001 \003(\t\022\021\n\tsignature\030\002 \001(\t\022\020\n" +
+      "\010position\030\003 \001(\t\022\023\n\013last_commit\030\004 \001(\t\022\016\n\006" +
+      "server\030\005 \001(\t\"c\n\027ForwardedFailureMessage\022" +
+      "\014\n\004code\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\022\016\n\006server\030" +
+      "\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\317\001\n\026Fo" +
+      "rwardedResultMessage\022\016\n\006stream\030\001 \001(\004\022D\n\t" +
+      "succeeded\030\002 \001(\0132/.ragwortmoor.forwarding" +
+      ".ForwardedSuccessMessageH\000\022A\n\006failed\030\003 \001" +
+      "(\0132/.ragwortmoor.forwarding.ForwardedFai" +
+      "lureMessageH\000\022\022\n\010declined\030\004 \001(\tH\000B\010\n\006res" +
+      "ult\"\207\002\n\017ForwardingFrame\022\017\n\005hello\030\001 \001(\tH\000" +
+      "\022F\n\tstatement\030\002 \001(\01321.ragwortmoor.forwar" +
+      "ding.ForwardedStatementMessageH\000\022@\n\006resu" +
+      "lt\030\003 \001(\0132..ragwortmoor.forwarding.Forwar" +
+      "dedResultMessageH\000\022\r\n\003end\030\004 \001(\004H\000\022\016\n\004pin" +
+      "g\030\005 \001(\004H\000\022\016\n\004pong\030\006 \001(\004H\000\022\020\n\006report\030\007 \001(" +
+      "\014H\000\022\020\n\006update\030\010 \001(\014H\000B\006\n\004bodyB!\n\035org.rag" +
+      "wortmoor.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -126,7 +126,7 @@
     internal_static_ragwortmoor_forwarding_ForwardedStatementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_forwarding_ForwardedStatementMessage_descriptor,
-        new java.lang.String[] { "Stream", "First", "Id", "Text", "Shape", "Route", "Values", "LastCommit", "Mode", "TransactionAgeMillis", "ValuesChanged", "MayDecline", });
+        new java.lang.String[] { "Stream", "First", "Id", "Text", "Shape", "Route", "Values", "LastCommit", "Mode", "TransactionAgeMillis", "ValuesChanged", "MayDecline", "Workspace", });
     internal_static_ragwortmoor_forwarding_ForwardedSuccessMessage_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_ragwortmoor_forwarding_ForwardedSuccessMessage_fieldAccessorTable = new
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
@@ -32,6 +32,7 @@
     primaries_ = java.util.Collections.emptyList();
     domain_ = "";
     forwardingAddress_ = "";
+    usage_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -310,6 +311,62 @@
     return relayed_;
   }
 
+  public static final int QUOTA_EPOCH_FIELD_NUMBER = 12;
+  private long quotaEpoch_ = 0L;
+  /**
+   * <pre>
+   * Epoch of the tokens that the usage refers to; 0 if the proxy has none.
+   * </pre>
+   *
+   * <code>uint64 quota_epoch = 12;</code>
+   * @return The quotaEpoch.
+   */
+  @java.lang.Override
+  public long getQuotaEpoch() {
+    return quotaEpoch_;
+  }
+
+  public static final int USAGE_FIELD_NUMBER = 13;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragwortmoor.protocol.wire.WorkspaceUsageMessage> usage_;
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceUsageMessage> getUsageList() {
+    return usage_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder> 
+      getUsageOrBuilderList() {
+    return usage_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  @java.lang.Override
+  public int getUsageCount() {
+    return usage_.size();
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.WorkspaceUsageMessage getUsage(int index) {
+    return usage_.get(index);
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder getUsageOrBuilder(
+      int index) {
+    return usage_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -357,6 +414,12 @@
     if (relayed_ != false) {
       output.writeBool(11, relayed_);
     }
+    if (quotaEpoch_ != 0L) {
+      output.writeUInt64(12, quotaEpoch_);
+    }
+    for (int i = 0; i < usage_.size(); i++) {
+      output.writeMessage(13, usage_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -407,6 +470,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(11, relayed_);
     }
+    if (quotaEpoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(12, quotaEpoch_);
+    }
+    for (int i = 0; i < usage_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, usage_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -444,6 +515,10 @@
         != other.getStopping()) return false;
     if (getRelayed()
         != other.getRelayed()) return false;
+    if (getQuotaEpoch()
+        != other.getQuotaEpoch()) return false;
+    if (!getUsageList()
+        .equals(other.getUsageList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -486,6 +561,13 @@
     hash = (37 * hash) + RELAYED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getRelayed());
+    hash = (37 * hash) + QUOTA_EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getQuotaEpoch());
+    if (getUsageCount() > 0) {
+      hash = (37 * hash) + USAGE_FIELD_NUMBER;
+      hash = (53 * hash) + getUsageList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -634,6 +716,14 @@
       neighboursHash_ = 0L;
       stopping_ = false;
       relayed_ = false;
+      quotaEpoch_ = 0L;
+      if (usageBuilder_ == null) {
+        usage_ = java.util.Collections.emptyList();
+      } else {
+        usage_ = null;
+        usageBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00001000);
       return this;
     }
 
@@ -676,6 +766,15 @@
       } else {
         result.primaries_ = primariesBuilder_.build();
       }
+      if (usageBuilder_ == null) {
+        if (((bitField0_ & 0x00001000) != 0)) {
+          usage_ = java.util.Collections.unmodifiableList(usage_);
+          bitField0_ = (bitField0_ & ~0x00001000);
+        }
+        result.usage_ = usage_;
+      } else {
+        result.usage_ = usageBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragwortmoor.protocol.wire.NodeReportMessage result) {
@@ -710,6 +809,9 @@
       if (((from_bitField0_ & 0x00000400) != 0)) {
         result.relayed_ = relayed_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.quotaEpoch_ = quotaEpoch_;
+      }
     }
 
     @java.lang.Override
@@ -786,6 +888,35 @@
       if (other.getRelayed() != false) {
         setRelayed(other.getRelayed());
       }
+      if (other.getQuotaEpoch() != 0L) {
+        setQuotaEpoch(other.getQuotaEpoch());
+      }
+      if (usageBuilder_ == null) {
+        if (!other.usage_.isEmpty()) {
+          if (usage_.isEmpty()) {
+            usage_ = other.usage_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+          } else {
+            ensureUsageIsMutable();
+            usage_.addAll(other.usage_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.usage_.isEmpty()) {
+          if (usageBuilder_.isEmpty()) {
+            usageBuilder_.dispose();
+            usageBuilder_ = null;
+            usage_ = other.usage_;
+            bitField0_ = (bitField0_ & ~0x00001000);
+            usageBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetUsageFieldBuilder() : null;
+          } else {
+            usageBuilder_.addAllMessages(other.usage_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -875,6 +1006,24 @@
               bitField0_ |= 0x00000400;
               break;
             } // case 88
+            case 96: {
+              quotaEpoch_ = input.readUInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 106: {
+              org.ragwortmoor.protocol.wire.WorkspaceUsageMessage m =
+                  input.readMessage(
+                      org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.parser(),
+                      extensionRegistry);
+              if (usageBuilder_ == null) {
+                ensureUsageIsMutable();
+                usage_.add(m);
+              } else {
+                usageBuilder_.addMessage(m);
+              }
+              break;
+            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1652,6 +1801,290 @@
       return this;
     }
 
+    private long quotaEpoch_ ;
+    /**
+     * <pre>
+     * Epoch of the tokens that the usage refers to; 0 if the proxy has none.
+     * </pre>
+     *
+     * <code>uint64 quota_epoch = 12;</code>
+     * @return The quotaEpoch.
+     */
+    @java.lang.Override
+    public long getQuotaEpoch() {
+      return quotaEpoch_;
+    }
+    /**
+     * <pre>
+     * Epoch of the tokens that the usage refers to; 0 if the proxy has none.
+     * </pre>
+     *
+     * <code>uint64 quota_epoch = 12;</code>
+     * @param value The quotaEpoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQuotaEpoch(long value) {
+
+      quotaEpoch_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Epoch of the tokens that the usage refers to; 0 if the proxy has none.
+     * </pre>
+     *
+     * <code>uint64 quota_epoch = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQuotaEpoch() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      quotaEpoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.ragwortmoor.protocol.wire.WorkspaceUsageMessage> usage_ =
+      java.util.Collections.emptyList();
+    private void ensureUsageIsMutable() {
+      if (!((bitField0_ & 0x00001000) != 0)) {
+        usage_ = new java.util.ArrayList<org.ragwortmoor.protocol.wire.WorkspaceUsageMessage>(usage_);
+        bitField0_ |= 0x00001000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.WorkspaceUsageMessage, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder> usageBuilder_;
+
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceUsageMessage> getUsageList() {
+      if (usageBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(usage_);
+      } else {
+        return usageBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public int getUsageCount() {
+      if (usageBuilder_ == null) {
+        return usage_.size();
+      } else {
+        return usageBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceUsageMessage getUsage(int index) {
+      if (usageBuilder_ == null) {
+        return usage_.get(index);
+      } else {
+        return usageBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder setUsage(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage value) {
+      if (usageBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureUsageIsMutable();
+        usage_.set(index, value);
+        onChanged();
+      } else {
+        usageBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder setUsage(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder builderForValue) {
+      if (usageBuilder_ == null) {
+        ensureUsageIsMutable();
+        usage_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        usageBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder addUsage(org.ragwortmoor.protocol.wire.WorkspaceUsageMessage value) {
+      if (usageBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureUsageIsMutable();
+        usage_.add(value);
+        onChanged();
+      } else {
+        usageBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder addUsage(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage value) {
+      if (usageBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureUsageIsMutable();
+        usage_.add(index, value);
+        onChanged();
+      } else {
+        usageBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder addUsage(
+        org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder builderForValue) {
+      if (usageBuilder_ == null) {
+        ensureUsageIsMutable();
+        usage_.add(builderForValue.build());
+        onChanged();
+      } else {
+        usageBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder addUsage(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder builderForValue) {
+      if (usageBuilder_ == null) {
+        ensureUsageIsMutable();
+        usage_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        usageBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder addAllUsage(
+        java.lang.Iterable<? extends org.ragwortmoor.protocol.wire.WorkspaceUsageMessage> values) {
+      if (usageBuilder_ == null) {
+        ensureUsageIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, usage_);
+        onChanged();
+      } else {
+        usageBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder clearUsage() {
+      if (usageBuilder_ == null) {
+        usage_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);
+        onChanged();
+      } else {
+        usageBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public Builder removeUsage(int index) {
+      if (usageBuilder_ == null) {
+        ensureUsageIsMutable();
+        usage_.remove(index);
+        onChanged();
+      } else {
+        usageBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder getUsageBuilder(
+        int index) {
+      return internalGetUsageFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder getUsageOrBuilder(
+        int index) {
+      if (usageBuilder_ == null) {
+        return usage_.get(index);  } else {
+        return usageBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder> 
+         getUsageOrBuilderList() {
+      if (usageBuilder_ != null) {
+        return usageBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(usage_);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder addUsageBuilder() {
+      return internalGetUsageFieldBuilder().addBuilder(
+          org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder addUsageBuilder(
+        int index) {
+      return internalGetUsageFieldBuilder().addBuilder(
+          index, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder> 
+         getUsageBuilderList() {
+      return internalGetUsageFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.WorkspaceUsageMessage, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder> 
+        internalGetUsageFieldBuilder() {
+      if (usageBuilder_ == null) {
+        usageBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragwortmoor.protocol.wire.WorkspaceUsageMessage, org.ragwortmoor.protocol.wire.WorkspaceUsageMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder>(
+                usage_,
+                ((bitField0_ & 0x00001000) != 0),
+                getParentForChildren(),
+                isClean());
+        usage_ = null;
+      }
+      return usageBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.NodeReportMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
@@ -139,4 +139,38 @@
    * @return The relayed.
    */
   boolean getRelayed();
+
+  /**
+   * <pre>
+   * Epoch of the tokens that the usage refers to; 0 if the proxy has none.
+   * </pre>
+   *
+   * <code>uint64 quota_epoch = 12;</code>
+   * @return The quotaEpoch.
+   */
+  long getQuotaEpoch();
+
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  java.util.List<org.ragwortmoor.protocol.wire.WorkspaceUsageMessage> 
+      getUsageList();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  org.ragwortmoor.protocol.wire.WorkspaceUsageMessage getUsage(int index);
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  int getUsageCount();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder> 
+      getUsageOrBuilderList();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceUsageMessage usage = 13;</code>
+   */
+  org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder getUsageOrBuilder(
+      int index);
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessage.java
@@ -287,6 +287,21 @@
     return maxStalenessMillis_;
   }
 
+  public static final int KEY_EXEMPT_FIELD_NUMBER = 10;
+  private boolean keyExempt_ = false;
+  /**
+   * <pre>
+   * Whether callers need no key.
+   * </pre>
+   *
+   * <code>bool key_exempt = 10;</code>
+   * @return The keyExempt.
+   */
+  @java.lang.Override
+  public boolean getKeyExempt() {
+    return keyExempt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -328,6 +343,9 @@
     if (maxStalenessMillis_ != 0) {
       output.writeUInt32(9, maxStalenessMillis_);
     }
+    if (keyExempt_ != false) {
+      output.writeBool(10, keyExempt_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -368,6 +386,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(9, maxStalenessMillis_);
     }
+    if (keyExempt_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, keyExempt_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -401,6 +423,8 @@
         != other.getPriority()) return false;
     if (getMaxStalenessMillis()
         != other.getMaxStalenessMillis()) return false;
+    if (getKeyExempt()
+        != other.getKeyExempt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -430,6 +454,9 @@
     hash = (53 * hash) + getPriority();
     hash = (37 * hash) + MAX_STALENESS_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getMaxStalenessMillis();
+    hash = (37 * hash) + KEY_EXEMPT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getKeyExempt());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -570,6 +597,7 @@
       targetMillis_ = 0;
       priority_ = 0;
       maxStalenessMillis_ = 0;
+      keyExempt_ = false;
       return this;
     }
 
@@ -630,6 +658,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.maxStalenessMillis_ = maxStalenessMillis_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.keyExempt_ = keyExempt_;
+      }
     }
 
     @java.lang.Override
@@ -681,6 +712,9 @@
       if (other.getMaxStalenessMillis() != 0) {
         setMaxStalenessMillis(other.getMaxStalenessMillis());
       }
+      if (other.getKeyExempt() != false) {
+        setKeyExempt(other.getKeyExempt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -752,6 +786,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              keyExempt_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1257,6 +1296,50 @@
       return this;
     }
 
+    private boolean keyExempt_ ;
+    /**
+     * <pre>
+     * Whether callers need no key.
+     * </pre>
+     *
+     * <code>bool key_exempt = 10;</code>
+     * @return The keyExempt.
+     */
+    @java.lang.Override
+    public boolean getKeyExempt() {
+      return keyExempt_;
+    }
+    /**
+     * <pre>
+     * Whether callers need no key.
+     * </pre>
+     *
+     * <code>bool key_exempt = 10;</code>
+     * @param value The keyExempt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeyExempt(boolean value) {
+
+      keyExempt_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether callers need no key.
+     * </pre>
+     *
+     * <code>bool key_exempt = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeyExempt() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      keyExempt_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.RouteMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteMessageOrBuilder.java
@@ -93,4 +93,14 @@
    * @return The maxStalenessMillis.
    */
   int getMaxStalenessMillis();
+
+  /**
+   * <pre>
+   * Whether callers need no key.
+   * </pre>
+   *
+   * <code>bool key_exempt = 10;</code>
+   * @return The keyExempt.
+   */
+  boolean getKeyExempt();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableChangeMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableChangeMessage.java
@@ -36,6 +36,9 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     changed_ = java.util.Collections.emptyList();
     groups_ = java.util.Collections.emptyList();
+    removedWorkspaces_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    changedWorkspaces_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -223,6 +226,111 @@
     return idleTransactionMillis_;
   }
 
+  public static final int HAS_WORKSPACES_FIELD_NUMBER = 7;
+  private boolean hasWorkspaces_ = false;
+  /**
+   * <code>bool has_workspaces = 7;</code>
+   * @return The hasWorkspaces.
+   */
+  @java.lang.Override
+  public boolean getHasWorkspaces() {
+    return hasWorkspaces_;
+  }
+
+  public static final int REMOVED_WORKSPACES_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList removedWorkspaces_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @return A list containing the removedWorkspaces.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getRemovedWorkspacesList() {
+    return removedWorkspaces_;
+  }
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @return The count of removedWorkspaces.
+   */
+  public int getRemovedWorkspacesCount() {
+    return removedWorkspaces_.size();
+  }
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @param index The index of the element to return.
+   * @return The removedWorkspaces at the given index.
+   */
+  public java.lang.String getRemovedWorkspaces(int index) {
+    return removedWorkspaces_.get(index);
+  }
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the removedWorkspaces at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getRemovedWorkspacesBytes(int index) {
+    return removedWorkspaces_.getByteString(index);
+  }
+
+  public static final int CHANGED_WORKSPACES_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> changedWorkspaces_;
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> getChangedWorkspacesList() {
+    return changedWorkspaces_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+      getChangedWorkspacesOrBuilderList() {
+    return changedWorkspaces_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  @java.lang.Override
+  public int getChangedWorkspacesCount() {
+    return changedWorkspaces_.size();
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.WorkspaceMessage getChangedWorkspaces(int index) {
+    return changedWorkspaces_.get(index);
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder getChangedWorkspacesOrBuilder(
+      int index) {
+    return changedWorkspaces_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -255,6 +363,15 @@
     if (idleTransactionMillis_ != 0) {
       output.writeUInt32(6, idleTransactionMillis_);
     }
+    if (hasWorkspaces_ != false) {
+      output.writeBool(7, hasWorkspaces_);
+    }
+    for (int i = 0; i < removedWorkspaces_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, removedWorkspaces_.getRaw(i));
+    }
+    for (int i = 0; i < changedWorkspaces_.size(); i++) {
+      output.writeMessage(9, changedWorkspaces_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -292,6 +409,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(6, idleTransactionMillis_);
     }
+    if (hasWorkspaces_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, hasWorkspaces_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < removedWorkspaces_.size(); i++) {
+        dataSize += computeStringSizeNoTag(removedWorkspaces_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getRemovedWorkspacesList().size();
+    }
+    for (int i = 0; i < changedWorkspaces_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, changedWorkspaces_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -319,6 +452,12 @@
         .equals(other.getGroupsList())) return false;
     if (getIdleTransactionMillis()
         != other.getIdleTransactionMillis()) return false;
+    if (getHasWorkspaces()
+        != other.getHasWorkspaces()) return false;
+    if (!getRemovedWorkspacesList()
+        .equals(other.getRemovedWorkspacesList())) return false;
+    if (!getChangedWorkspacesList()
+        .equals(other.getChangedWorkspacesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -350,6 +489,17 @@
     }
     hash = (37 * hash) + IDLE_TRANSACTION_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getIdleTransactionMillis();
+    hash = (37 * hash) + HAS_WORKSPACES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHasWorkspaces());
+    if (getRemovedWorkspacesCount() > 0) {
+      hash = (37 * hash) + REMOVED_WORKSPACES_FIELD_NUMBER;
+      hash = (53 * hash) + getRemovedWorkspacesList().hashCode();
+    }
+    if (getChangedWorkspacesCount() > 0) {
+      hash = (37 * hash) + CHANGED_WORKSPACES_FIELD_NUMBER;
+      hash = (53 * hash) + getChangedWorkspacesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -504,6 +654,16 @@
       }
       bitField0_ = (bitField0_ & ~0x00000010);
       idleTransactionMillis_ = 0;
+      hasWorkspaces_ = false;
+      removedWorkspaces_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      if (changedWorkspacesBuilder_ == null) {
+        changedWorkspaces_ = java.util.Collections.emptyList();
+      } else {
+        changedWorkspaces_ = null;
+        changedWorkspacesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -555,6 +715,15 @@
       } else {
         result.groups_ = groupsBuilder_.build();
       }
+      if (changedWorkspacesBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          changedWorkspaces_ = java.util.Collections.unmodifiableList(changedWorkspaces_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.changedWorkspaces_ = changedWorkspaces_;
+      } else {
+        result.changedWorkspaces_ = changedWorkspacesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragwortmoor.protocol.wire.RouteTableChangeMessage result) {
@@ -572,6 +741,13 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.idleTransactionMillis_ = idleTransactionMillis_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.hasWorkspaces_ = hasWorkspaces_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        removedWorkspaces_.makeImmutable();
+        result.removedWorkspaces_ = removedWorkspaces_;
+      }
     }
 
     @java.lang.Override
@@ -657,6 +833,45 @@
       if (other.getIdleTransactionMillis() != 0) {
         setIdleTransactionMillis(other.getIdleTransactionMillis());
       }
+      if (other.getHasWorkspaces() != false) {
+        setHasWorkspaces(other.getHasWorkspaces());
+      }
+      if (!other.removedWorkspaces_.isEmpty()) {
+        if (removedWorkspaces_.isEmpty()) {
+          removedWorkspaces_ = other.removedWorkspaces_;
+          bitField0_ |= 0x00000080;
+        } else {
+          ensureRemovedWorkspacesIsMutable();
+          removedWorkspaces_.addAll(other.removedWorkspaces_);
+        }
+        onChanged();
+      }
+      if (changedWorkspacesBuilder_ == null) {
+        if (!other.changedWorkspaces_.isEmpty()) {
+          if (changedWorkspaces_.isEmpty()) {
+            changedWorkspaces_ = other.changedWorkspaces_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureChangedWorkspacesIsMutable();
+            changedWorkspaces_.addAll(other.changedWorkspaces_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.changedWorkspaces_.isEmpty()) {
+          if (changedWorkspacesBuilder_.isEmpty()) {
+            changedWorkspacesBuilder_.dispose();
+            changedWorkspacesBuilder_ = null;
+            changedWorkspaces_ = other.changedWorkspaces_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            changedWorkspacesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetChangedWorkspacesFieldBuilder() : null;
+          } else {
+            changedWorkspacesBuilder_.addAllMessages(other.changedWorkspaces_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -730,6 +945,30 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              hasWorkspaces_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 66: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureRemovedWorkspacesIsMutable();
+              removedWorkspaces_.add(s);
+              break;
+            } // case 66
+            case 74: {
+              org.ragwortmoor.protocol.wire.WorkspaceMessage m =
+                  input.readMessage(
+                      org.ragwortmoor.protocol.wire.WorkspaceMessage.parser(),
+                      extensionRegistry);
+              if (changedWorkspacesBuilder_ == null) {
+                ensureChangedWorkspacesIsMutable();
+                changedWorkspaces_.add(m);
+              } else {
+                changedWorkspacesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1482,6 +1721,425 @@
       return this;
     }
 
+    private boolean hasWorkspaces_ ;
+    /**
+     * <code>bool has_workspaces = 7;</code>
+     * @return The hasWorkspaces.
+     */
+    @java.lang.Override
+    public boolean getHasWorkspaces() {
+      return hasWorkspaces_;
+    }
+    /**
+     * <code>bool has_workspaces = 7;</code>
+     * @param value The hasWorkspaces to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHasWorkspaces(boolean value) {
+
+      hasWorkspaces_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool has_workspaces = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHasWorkspaces() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      hasWorkspaces_ = false;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList removedWorkspaces_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureRemovedWorkspacesIsMutable() {
+      if (!removedWorkspaces_.isModifiable()) {
+        removedWorkspaces_ = new com.google.protobuf.LazyStringArrayList(removedWorkspaces_);
+      }
+      bitField0_ |= 0x00000080;
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @return A list containing the removedWorkspaces.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getRemovedWorkspacesList() {
+      removedWorkspaces_.makeImmutable();
+      return removedWorkspaces_;
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @return The count of removedWorkspaces.
+     */
+    public int getRemovedWorkspacesCount() {
+      return removedWorkspaces_.size();
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @param index The index of the element to return.
+     * @return The removedWorkspaces at the given index.
+     */
+    public java.lang.String getRemovedWorkspaces(int index) {
+      return removedWorkspaces_.get(index);
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the removedWorkspaces at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getRemovedWorkspacesBytes(int index) {
+      return removedWorkspaces_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @param index The index to set the value at.
+     * @param value The removedWorkspaces to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRemovedWorkspaces(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRemovedWorkspacesIsMutable();
+      removedWorkspaces_.set(index, value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @param value The removedWorkspaces to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRemovedWorkspaces(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRemovedWorkspacesIsMutable();
+      removedWorkspaces_.add(value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @param values The removedWorkspaces to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllRemovedWorkspaces(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureRemovedWorkspacesIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, removedWorkspaces_);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRemovedWorkspaces() {
+      removedWorkspaces_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000080);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Names of the removed workspaces.
+     * </pre>
+     *
+     * <code>repeated string removed_workspaces = 8;</code>
+     * @param value The bytes of the removedWorkspaces to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRemovedWorkspacesBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureRemovedWorkspacesIsMutable();
+      removedWorkspaces_.add(value);
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> changedWorkspaces_ =
+      java.util.Collections.emptyList();
+    private void ensureChangedWorkspacesIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        changedWorkspaces_ = new java.util.ArrayList<org.ragwortmoor.protocol.wire.WorkspaceMessage>(changedWorkspaces_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.WorkspaceMessage, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> changedWorkspacesBuilder_;
+
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> getChangedWorkspacesList() {
+      if (changedWorkspacesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(changedWorkspaces_);
+      } else {
+        return changedWorkspacesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public int getChangedWorkspacesCount() {
+      if (changedWorkspacesBuilder_ == null) {
+        return changedWorkspaces_.size();
+      } else {
+        return changedWorkspacesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage getChangedWorkspaces(int index) {
+      if (changedWorkspacesBuilder_ == null) {
+        return changedWorkspaces_.get(index);
+      } else {
+        return changedWorkspacesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder setChangedWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage value) {
+      if (changedWorkspacesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureChangedWorkspacesIsMutable();
+        changedWorkspaces_.set(index, value);
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder setChangedWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder builderForValue) {
+      if (changedWorkspacesBuilder_ == null) {
+        ensureChangedWorkspacesIsMutable();
+        changedWorkspaces_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder addChangedWorkspaces(org.ragwortmoor.protocol.wire.WorkspaceMessage value) {
+      if (changedWorkspacesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureChangedWorkspacesIsMutable();
+        changedWorkspaces_.add(value);
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder addChangedWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage value) {
+      if (changedWorkspacesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureChangedWorkspacesIsMutable();
+        changedWorkspaces_.add(index, value);
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder addChangedWorkspaces(
+        org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder builderForValue) {
+      if (changedWorkspacesBuilder_ == null) {
+        ensureChangedWorkspacesIsMutable();
+        changedWorkspaces_.add(builderForValue.build());
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder addChangedWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder builderForValue) {
+      if (changedWorkspacesBuilder_ == null) {
+        ensureChangedWorkspacesIsMutable();
+        changedWorkspaces_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder addAllChangedWorkspaces(
+        java.lang.Iterable<? extends org.ragwortmoor.protocol.wire.WorkspaceMessage> values) {
+      if (changedWorkspacesBuilder_ == null) {
+        ensureChangedWorkspacesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, changedWorkspaces_);
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder clearChangedWorkspaces() {
+      if (changedWorkspacesBuilder_ == null) {
+        changedWorkspaces_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public Builder removeChangedWorkspaces(int index) {
+      if (changedWorkspacesBuilder_ == null) {
+        ensureChangedWorkspacesIsMutable();
+        changedWorkspaces_.remove(index);
+        onChanged();
+      } else {
+        changedWorkspacesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder getChangedWorkspacesBuilder(
+        int index) {
+      return internalGetChangedWorkspacesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder getChangedWorkspacesOrBuilder(
+        int index) {
+      if (changedWorkspacesBuilder_ == null) {
+        return changedWorkspaces_.get(index);  } else {
+        return changedWorkspacesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+         getChangedWorkspacesOrBuilderList() {
+      if (changedWorkspacesBuilder_ != null) {
+        return changedWorkspacesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(changedWorkspaces_);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder addChangedWorkspacesBuilder() {
+      return internalGetChangedWorkspacesFieldBuilder().addBuilder(
+          org.ragwortmoor.protocol.wire.WorkspaceMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder addChangedWorkspacesBuilder(
+        int index) {
+      return internalGetChangedWorkspacesFieldBuilder().addBuilder(
+          index, org.ragwortmoor.protocol.wire.WorkspaceMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder> 
+         getChangedWorkspacesBuilderList() {
+      return internalGetChangedWorkspacesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.WorkspaceMessage, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+        internalGetChangedWorkspacesFieldBuilder() {
+      if (changedWorkspacesBuilder_ == null) {
+        changedWorkspacesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragwortmoor.protocol.wire.WorkspaceMessage, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder>(
+                changedWorkspaces_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        changedWorkspaces_ = null;
+      }
+      return changedWorkspacesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.RouteTableChangeMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableChangeMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableChangeMessageOrBuilder.java
@@ -120,4 +120,75 @@
    * @return The idleTransactionMillis.
    */
   int getIdleTransactionMillis();
+
+  /**
+   * <code>bool has_workspaces = 7;</code>
+   * @return The hasWorkspaces.
+   */
+  boolean getHasWorkspaces();
+
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @return A list containing the removedWorkspaces.
+   */
+  java.util.List<java.lang.String>
+      getRemovedWorkspacesList();
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @return The count of removedWorkspaces.
+   */
+  int getRemovedWorkspacesCount();
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @param index The index of the element to return.
+   * @return The removedWorkspaces at the given index.
+   */
+  java.lang.String getRemovedWorkspaces(int index);
+  /**
+   * <pre>
+   * Names of the removed workspaces.
+   * </pre>
+   *
+   * <code>repeated string removed_workspaces = 8;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the removedWorkspaces at the given index.
+   */
+  com.google.protobuf.ByteString
+      getRemovedWorkspacesBytes(int index);
+
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> 
+      getChangedWorkspacesList();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  org.ragwortmoor.protocol.wire.WorkspaceMessage getChangedWorkspaces(int index);
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  int getChangedWorkspacesCount();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+      getChangedWorkspacesOrBuilderList();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage changed_workspaces = 9;</code>
+   */
+  org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder getChangedWorkspacesOrBuilder(
+      int index);
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableMessage.java
@@ -31,6 +31,7 @@
     routes_ = java.util.Collections.emptyList();
     groups_ = java.util.Collections.emptyList();
     source_ = "";
+    workspaces_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -197,6 +198,62 @@
     }
   }
 
+  public static final int HAS_WORKSPACES_FIELD_NUMBER = 6;
+  private boolean hasWorkspaces_ = false;
+  /**
+   * <pre>
+   * Whether callers need keys; the workspaces may be empty even then.
+   * </pre>
+   *
+   * <code>bool has_workspaces = 6;</code>
+   * @return The hasWorkspaces.
+   */
+  @java.lang.Override
+  public boolean getHasWorkspaces() {
+    return hasWorkspaces_;
+  }
+
+  public static final int WORKSPACES_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> workspaces_;
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> getWorkspacesList() {
+    return workspaces_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+      getWorkspacesOrBuilderList() {
+    return workspaces_;
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  @java.lang.Override
+  public int getWorkspacesCount() {
+    return workspaces_.size();
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.WorkspaceMessage getWorkspaces(int index) {
+    return workspaces_.get(index);
+  }
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  @java.lang.Override
+  public org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder getWorkspacesOrBuilder(
+      int index) {
+    return workspaces_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -226,6 +283,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(source_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, source_);
     }
+    if (hasWorkspaces_ != false) {
+      output.writeBool(6, hasWorkspaces_);
+    }
+    for (int i = 0; i < workspaces_.size(); i++) {
+      output.writeMessage(7, workspaces_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -254,6 +317,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(source_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, source_);
     }
+    if (hasWorkspaces_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, hasWorkspaces_);
+    }
+    for (int i = 0; i < workspaces_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, workspaces_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -279,6 +350,10 @@
         != other.getIdleTransactionMillis()) return false;
     if (!getSource()
         .equals(other.getSource())) return false;
+    if (getHasWorkspaces()
+        != other.getHasWorkspaces()) return false;
+    if (!getWorkspacesList()
+        .equals(other.getWorkspacesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -305,6 +380,13 @@
     hash = (53 * hash) + getIdleTransactionMillis();
     hash = (37 * hash) + SOURCE_FIELD_NUMBER;
     hash = (53 * hash) + getSource().hashCode();
+    hash = (37 * hash) + HAS_WORKSPACES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHasWorkspaces());
+    if (getWorkspacesCount() > 0) {
+      hash = (37 * hash) + WORKSPACES_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspacesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -453,6 +535,14 @@
       bitField0_ = (bitField0_ & ~0x00000004);
       idleTransactionMillis_ = 0;
       source_ = "";
+      hasWorkspaces_ = false;
+      if (workspacesBuilder_ == null) {
+        workspaces_ = java.util.Collections.emptyList();
+      } else {
+        workspaces_ = null;
+        workspacesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -504,6 +594,15 @@
       } else {
         result.groups_ = groupsBuilder_.build();
       }
+      if (workspacesBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          workspaces_ = java.util.Collections.unmodifiableList(workspaces_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.workspaces_ = workspaces_;
+      } else {
+        result.workspaces_ = workspacesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.ragwortmoor.protocol.wire.RouteTableMessage result) {
@@ -517,6 +616,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.source_ = source_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.hasWorkspaces_ = hasWorkspaces_;
+      }
     }
 
     @java.lang.Override
@@ -594,6 +696,35 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getHasWorkspaces() != false) {
+        setHasWorkspaces(other.getHasWorkspaces());
+      }
+      if (workspacesBuilder_ == null) {
+        if (!other.workspaces_.isEmpty()) {
+          if (workspaces_.isEmpty()) {
+            workspaces_ = other.workspaces_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureWorkspacesIsMutable();
+            workspaces_.addAll(other.workspaces_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.workspaces_.isEmpty()) {
+          if (workspacesBuilder_.isEmpty()) {
+            workspacesBuilder_.dispose();
+            workspacesBuilder_ = null;
+            workspaces_ = other.workspaces_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            workspacesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetWorkspacesFieldBuilder() : null;
+          } else {
+            workspacesBuilder_.addAllMessages(other.workspaces_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -661,6 +792,24 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              hasWorkspaces_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 58: {
+              org.ragwortmoor.protocol.wire.WorkspaceMessage m =
+                  input.readMessage(
+                      org.ragwortmoor.protocol.wire.WorkspaceMessage.parser(),
+                      extensionRegistry);
+              if (workspacesBuilder_ == null) {
+                ensureWorkspacesIsMutable();
+                workspaces_.add(m);
+              } else {
+                workspacesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1314,6 +1463,290 @@
       return this;
     }
 
+    private boolean hasWorkspaces_ ;
+    /**
+     * <pre>
+     * Whether callers need keys; the workspaces may be empty even then.
+     * </pre>
+     *
+     * <code>bool has_workspaces = 6;</code>
+     * @return The hasWorkspaces.
+     */
+    @java.lang.Override
+    public boolean getHasWorkspaces() {
+      return hasWorkspaces_;
+    }
+    /**
+     * <pre>
+     * Whether callers need keys; the workspaces may be empty even then.
+     * </pre>
+     *
+     * <code>bool has_workspaces = 6;</code>
+     * @param value The hasWorkspaces to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHasWorkspaces(boolean value) {
+
+      hasWorkspaces_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether callers need keys; the workspaces may be empty even then.
+     * </pre>
+     *
+     * <code>bool has_workspaces = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHasWorkspaces() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      hasWorkspaces_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> workspaces_ =
+      java.util.Collections.emptyList();
+    private void ensureWorkspacesIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        workspaces_ = new java.util.ArrayList<org.ragwortmoor.protocol.wire.WorkspaceMessage>(workspaces_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.WorkspaceMessage, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> workspacesBuilder_;
+
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> getWorkspacesList() {
+      if (workspacesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(workspaces_);
+      } else {
+        return workspacesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public int getWorkspacesCount() {
+      if (workspacesBuilder_ == null) {
+        return workspaces_.size();
+      } else {
+        return workspacesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage getWorkspaces(int index) {
+      if (workspacesBuilder_ == null) {
+        return workspaces_.get(index);
+      } else {
+        return workspacesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder setWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage value) {
+      if (workspacesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkspacesIsMutable();
+        workspaces_.set(index, value);
+        onChanged();
+      } else {
+        workspacesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder setWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder builderForValue) {
+      if (workspacesBuilder_ == null) {
+        ensureWorkspacesIsMutable();
+        workspaces_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        workspacesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder addWorkspaces(org.ragwortmoor.protocol.wire.WorkspaceMessage value) {
+      if (workspacesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkspacesIsMutable();
+        workspaces_.add(value);
+        onChanged();
+      } else {
+        workspacesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder addWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage value) {
+      if (workspacesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureWorkspacesIsMutable();
+        workspaces_.add(index, value);
+        onChanged();
+      } else {
+        workspacesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder addWorkspaces(
+        org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder builderForValue) {
+      if (workspacesBuilder_ == null) {
+        ensureWorkspacesIsMutable();
+        workspaces_.add(builderForValue.build());
+        onChanged();
+      } else {
+        workspacesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder addWorkspaces(
+        int index, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder builderForValue) {
+      if (workspacesBuilder_ == null) {
+        ensureWorkspacesIsMutable();
+        workspaces_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        workspacesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder addAllWorkspaces(
+        java.lang.Iterable<? extends org.ragwortmoor.protocol.wire.WorkspaceMessage> values) {
+      if (workspacesBuilder_ == null) {
+        ensureWorkspacesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, workspaces_);
+        onChanged();
+      } else {
+        workspacesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder clearWorkspaces() {
+      if (workspacesBuilder_ == null) {
+        workspaces_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        workspacesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public Builder removeWorkspaces(int index) {
+      if (workspacesBuilder_ == null) {
+        ensureWorkspacesIsMutable();
+        workspaces_.remove(index);
+        onChanged();
+      } else {
+        workspacesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder getWorkspacesBuilder(
+        int index) {
+      return internalGetWorkspacesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder getWorkspacesOrBuilder(
+        int index) {
+      if (workspacesBuilder_ == null) {
+        return workspaces_.get(index);  } else {
+        return workspacesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+         getWorkspacesOrBuilderList() {
+      if (workspacesBuilder_ != null) {
+        return workspacesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(workspaces_);
+      }
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder addWorkspacesBuilder() {
+      return internalGetWorkspacesFieldBuilder().addBuilder(
+          org.ragwortmoor.protocol.wire.WorkspaceMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder addWorkspacesBuilder(
+        int index) {
+      return internalGetWorkspacesFieldBuilder().addBuilder(
+          index, org.ragwortmoor.protocol.wire.WorkspaceMessage.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+     */
+    public java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder> 
+         getWorkspacesBuilderList() {
+      return internalGetWorkspacesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.ragwortmoor.protocol.wire.WorkspaceMessage, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+        internalGetWorkspacesFieldBuilder() {
+      if (workspacesBuilder_ == null) {
+        workspacesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.ragwortmoor.protocol.wire.WorkspaceMessage, org.ragwortmoor.protocol.wire.WorkspaceMessage.Builder, org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder>(
+                workspaces_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        workspaces_ = null;
+      }
+      return workspacesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.RouteTableMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/RouteTableMessageOrBuilder.java
@@ -89,4 +89,38 @@
    */
   com.google.protobuf.ByteString
       getSourceBytes();
+
+  /**
+   * <pre>
+   * Whether callers need keys; the workspaces may be empty even then.
+   * </pre>
+   *
+   * <code>bool has_workspaces = 6;</code>
+   * @return The hasWorkspaces.
+   */
+  boolean getHasWorkspaces();
+
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  java.util.List<org.ragwortmoor.protocol.wire.WorkspaceMessage> 
+      getWorkspacesList();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  org.ragwortmoor.protocol.wire.WorkspaceMessage getWorkspaces(int index);
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  int getWorkspacesCount();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  java.util.List<? extends org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder> 
+      getWorkspacesOrBuilderList();
+  /**
+   * <code>repeated .ragwortmoor.directory.WorkspaceMessage workspaces = 7;</code>
+   */
+  org.ragwortmoor.protocol.wire.WorkspaceMessageOrBuilder getWorkspacesOrBuilder(
+      int index);
 }
--- a/core/src/main/java/org/ragwortmoor/state/routes/Route.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/Route.java
@@ -12,6 +12,7 @@
  * @param targetMillis latency objective of an operation, in milliseconds
  * @param priority priority of the route; 0 is the highest
  * @param maxStalenessMillis maximum age of commits that a read may miss, in milliseconds
+ * @param keyExempt whether callers need no key where workspaces are configured
  */
 public record Route(
         String name,
@@ -22,7 +23,32 @@
         int timeoutMillis,
         int targetMillis,
         int priority,
-        int maxStalenessMillis) {
+        int maxStalenessMillis,
+        boolean keyExempt) {
+    /** Creates a route whose callers need a key where workspaces are configured. */
+    public Route(
+            String name,
+            String database,
+            String prefix,
+            RouteKind kind,
+            String group,
+            int timeoutMillis,
+            int targetMillis,
+            int priority,
+            int maxStalenessMillis) {
+        this(
+                name,
+                database,
+                prefix,
+                kind,
+                group,
+                timeoutMillis,
+                targetMillis,
+                priority,
+                maxStalenessMillis,
+                false);
+    }
+
     /** Returns the identity of the route: its database and prefix, which no other route has. */
     public String identity() {
         return database + '\n' + prefix;
--- a/core/src/main/java/org/ragwortmoor/state/routes/RouteTable.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/RouteTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.ragwortmoor.state.statement.NameField;
+import org.ragwortmoor.state.workspace.Workspace;
 
 /**
  * A complete configuration of routes.
@@ -13,6 +14,7 @@
  * @param routes all routes
  * @param groups all groups to which routes may refer
  * @param idleTransactionMillis time after which an idle transaction may be ended, in milliseconds
+ * @param workspaces all workspaces; none if callers need no keys
  * @param source text that the operator sent, returned unchanged when the routes are read
  */
 public record RouteTable(
@@ -20,14 +22,27 @@
         List<Route> routes,
         List<GroupLimits> groups,
         int idleTransactionMillis,
+        Option<List<Workspace>> workspaces,
         String source) {
     /** The table before the first configuration. */
-    public static final RouteTable EMPTY = new RouteTable(0, List.of(), List.of(), 0, "");
+    public static final RouteTable EMPTY =
+            new RouteTable(0, List.of(), List.of(), 0, Option.none(), "");
 
     /** Copies the lists. */
     public RouteTable {
         routes = List.copyOf(routes);
         groups = List.copyOf(groups);
+        workspaces = workspaces.map(List::copyOf);
+    }
+
+    /** Creates a table without workspaces, whose callers need no keys. */
+    public RouteTable(
+            long version,
+            List<Route> routes,
+            List<GroupLimits> groups,
+            int idleTransactionMillis,
+            String source) {
+        this(version, routes, groups, idleTransactionMillis, Option.none(), source);
     }
 
     /**
@@ -49,4 +64,18 @@
     public Option<GroupLimits> group(String name) {
         return Option.ofOptional(groups.stream().filter(g -> g.name().equals(name)).findFirst());
     }
+
+    /** Returns a description without the source and the keys, which must not appear in logs. */
+    @Override
+    public String toString() {
+        return "RouteTable(version="
+                + version
+                + " routes="
+                + routes
+                + " groups="
+                + groups
+                + " workspaces="
+                + workspaces
+                + ")";
+    }
 }
--- a/core/src/main/java/org/ragwortmoor/state/routes/RouteTableChange.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/RouteTableChange.java
@@ -1,9 +1,11 @@
 package org.ragwortmoor.state.routes;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.ragwortmoor.state.workspace.WorkspaceChanges;
 
 /**
  * The difference between two route tables, which is much smaller than a table of many routes.
@@ -13,13 +15,15 @@
  * @param changed routes that are new or have changed
  * @param groups all groups of the new table
  * @param idleTransactionMillis time after which an idle transaction may be ended, in milliseconds
+ * @param workspaces changes of the workspaces; none if the new table has no workspaces
  */
 public record RouteTableChange(
         long version,
         List<String> removed,
         List<Route> changed,
         List<GroupLimits> groups,
-        int idleTransactionMillis) {
+        int idleTransactionMillis,
+        Option<WorkspaceChanges> workspaces) {
     /** Copies the lists. */
     public RouteTableChange {
         removed = List.copyOf(removed);
@@ -41,7 +45,12 @@
                 List.copyOf(known.keySet()),
                 changed,
                 to.groups(),
-                to.idleTransactionMillis());
+                to.idleTransactionMillis(),
+                to.workspaces()
+                        .map(
+                                w ->
+                                        WorkspaceChanges.between(
+                                                from.workspaces().getOrElse(List.of()), w)));
     }
 
     /** Returns the table after this change; without the operator's text. */
@@ -50,7 +59,12 @@
         removed.forEach(routes::remove);
         changed.forEach(route -> routes.put(route.identity(), route));
         return new RouteTable(
-                version, List.copyOf(routes.values()), groups, idleTransactionMillis, "");
+                version,
+                List.copyOf(routes.values()),
+                groups,
+                idleTransactionMillis,
+                workspaces.map(w -> w.applyTo(table.workspaces().getOrElse(List.of()))),
+                "");
     }
 
     private static Map<String, Route> byIdentity(List<Route> routes) {
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/state/workspace/package-info.java
@@ -0,0 +1,2 @@
+/** Workspaces: callers that share keys and a limit. */
+package org.ragwortmoor.state.workspace;
--- a/core/src/test/java/org/ragwortmoor/coordination/session/ForwardingTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/ForwardingTest.java
@@ -202,7 +202,8 @@
                 ForwardedStatement.Mode.TRANSACTION,
                 0,
                 false,
-                true);
+                true,
+                "");
     }
 
     @Test
--- a/core/src/test/java/org/ragwortmoor/protocol/ForwardingCodecTest.java
+++ b/core/src/test/java/org/ragwortmoor/protocol/ForwardingCodecTest.java
@@ -74,7 +74,8 @@
                                         mode,
                                         number,
                                         !flag,
-                                        flag));
+                                        flag,
+                                        "workspace"));
     }
 
     @Provide
