Run the peer transport on the loop of the process, without exemplars

Change: PeerClient and PeerServer can run on loops of the caller; both roles of the statement service use that.

PeerTransportTest, FirstRoutesTest and ProxyRegistryTest pass.

--- a/app/src/main/java/org/ragwortmoor/directory/AnnouncementGate.java
+++ b/app/src/main/java/org/ragwortmoor/directory/AnnouncementGate.java
@@ -37,6 +37,7 @@
                         .name("ragwortmoor_announcements_refused_total")
                         .help("Announcements of servers that were refused, by kind of problem")
                         .labelNames("kind")
+                        .withoutExemplars()
                         .register(registry);
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
@@ -44,36 +44,42 @@
                         .name("ragwortmoor_statements_total")
                         .help("Ended statements by outcome")
                         .labelNames("outcome")
+                        .withoutExemplars()
                         .register(registry);
         this.forwarded =
                 Counter.builder()
                         .name("ragwortmoor_forwarded_statements_total")
                         .help("Ended statements that other proxies had forwarded, by outcome")
                         .labelNames("outcome")
+                        .withoutExemplars()
                         .register(registry);
         this.connections =
                 Counter.builder()
                         .name("ragwortmoor_server_connections_ended_total")
                         .help("Server connections that failed to open or were lost")
                         .labelNames("kind")
+                        .withoutExemplars()
                         .register(registry);
         this.serverAnswers =
                 Counter.builder()
                         .name("ragwortmoor_server_answers_total")
                         .help("Answers of servers by signature or error code")
                         .labelNames("kind")
+                        .withoutExemplars()
                         .register(registry);
         this.mismatchedAnswers =
                 Counter.builder()
                         .name("ragwortmoor_server_answers_mismatched_total")
                         .help("Answers of servers to no statement in progress, by kind")
                         .labelNames("kind")
+                        .withoutExemplars()
                         .register(registry);
         this.latency =
                 Histogram.builder()
                         .name("ragwortmoor_statement_seconds")
                         .help("Time from the arrival of a statement to its answer")
                         .classicOnly()
+                        .withoutExemplars()
                         .register(registry);
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -90,12 +90,14 @@
         requests = new DirectoryRequests(this, registry);
         Listener listener = new Listener();
         String self = settings.controlAddress().toString();
-        peers = new PeerClient(transport, self, loop, listener, metrics, new Random());
+        peers = PeerClient.onSharedLoop(transport, self, loops, listener, metrics, new Random());
         membership = new MembershipManager(settings, addresses, peers);
         leaderDuties =
                 new LeaderDuties(
                         this, settings, new StatementClient(loops, host), promotions, loop);
-        server = new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
+        server =
+                PeerServer.onSharedLoop(
+                        transport, settings.peerPort(), self, loops, listener, metrics);
         loop.execute(() -> open(start.at()));
         loop.scheduleAtFixedRate(
                 this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -101,10 +101,10 @@
                         new RelayedReports(links),
                         engine::update);
         peers =
-                new PeerClient(
+                PeerClient.onSharedLoop(
                         TransportSettings.forPeers(host),
                         settings.name(),
-                        loop,
+                        loops,
                         directory,
                         new TransportMetrics(registry),
                         new Random());
--- a/app/src/main/java/org/ragwortmoor/directory/TrafficMetrics.java
+++ b/app/src/main/java/org/ragwortmoor/directory/TrafficMetrics.java
@@ -17,6 +17,7 @@
                         .name("ragwortmoor_server_bytes_total")
                         .help("Bytes of messages exchanged with servers by direction and domain")
                         .labelNames("direction", "domain")
+                        .withoutExemplars()
                         .register(registry);
         own = counter(bytes, "own");
         other = counter(bytes, "other");
--- a/app/src/main/java/org/ragwortmoor/transport/PeerClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerClient.java
@@ -25,6 +25,7 @@
 
     private final TransportSettings settings;
     private final EventLoopGroup eventLoops;
+    private final boolean ownsEventLoops;
     private final Executor executor;
     private final PeerListener listener;
     private final TransportMetrics metrics;
@@ -34,7 +35,7 @@
     private volatile boolean closed;
 
     /**
-     * Creates a client without connections.
+     * Creates a client without connections that runs on event loops of its own.
      *
      * @param self identifier of this process, sent with each message
      * @param executor runs the calls to the listener
@@ -47,8 +48,29 @@
             PeerListener listener,
             TransportMetrics metrics,
             RandomGenerator random) {
+        this(
+                settings,
+                self,
+                Channels.newEventLoops(settings),
+                true,
+                executor,
+                listener,
+                metrics,
+                random);
+    }
+
+    private PeerClient(
+            TransportSettings settings,
+            String self,
+            EventLoopGroup eventLoops,
+            boolean ownsEventLoops,
+            Executor executor,
+            PeerListener listener,
+            TransportMetrics metrics,
+            RandomGenerator random) {
         this.settings = settings;
-        this.eventLoops = Channels.newEventLoops(settings);
+        this.eventLoops = eventLoops;
+        this.ownsEventLoops = ownsEventLoops;
         this.executor = executor;
         this.listener = listener;
         this.metrics = metrics;
@@ -56,6 +78,23 @@
         this.encoder = new PeerFrameEncoder(self, settings, metrics);
     }
 
+    /**
+     * Creates a client that runs on event loops of the caller and leaves them open when it is
+     * closed. A process whose listener runs on the same loop is not woken twice for each message.
+     *
+     * @param eventLoops group with a single loop, on which the listener is called too
+     */
+    public static PeerClient onSharedLoop(
+            TransportSettings settings,
+            String self,
+            EventLoopGroup eventLoops,
+            PeerListener listener,
+            TransportMetrics metrics,
+            RandomGenerator random) {
+        return new PeerClient(
+                settings, self, eventLoops, false, eventLoops.next(), listener, metrics, random);
+    }
+
     /**
      * Connects to a peer and keeps the connection open. Does nothing if already requested.
      *
@@ -109,7 +148,9 @@
     public void close() {
         closed = true;
         connectionsByAddress.keySet().forEach(this::disconnect);
-        Channels.shutdown(eventLoops);
+        if (ownsEventLoops) {
+            Channels.shutdown(eventLoops);
+        }
     }
 
     /** Returns the exponential backoff with jitter: a random time from half of it to all of it. */
--- a/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
@@ -23,6 +23,7 @@
 public final class PeerServer implements AutoCloseable {
     private final TransportSettings settings;
     private final EventLoopGroup eventLoops;
+    private final boolean ownsEventLoops;
     private final Executor executor;
     private final PeerListener listener;
     private final TransportMetrics metrics;
@@ -33,7 +34,7 @@
     private final Map<String, PeerChannel> latestChannelBySender = new ConcurrentHashMap<>();
 
     /**
-     * Opens the listening socket.
+     * Opens the listening socket of a server that runs on event loops of its own.
      *
      * @param port port to listen on; 0 for an ephemeral port
      * @param self identifier of this process, sent with each message
@@ -48,21 +49,68 @@
             PeerListener listener,
             TransportMetrics metrics)
             throws IOException {
+        this(
+                settings,
+                port,
+                self,
+                Channels.newEventLoops(settings),
+                true,
+                executor,
+                listener,
+                metrics);
+    }
+
+    private PeerServer(
+            TransportSettings settings,
+            int port,
+            String self,
+            EventLoopGroup eventLoops,
+            boolean ownsEventLoops,
+            Executor executor,
+            PeerListener listener,
+            TransportMetrics metrics)
+            throws IOException {
         this.settings = settings;
-        this.eventLoops = Channels.newEventLoops(settings);
+        this.eventLoops = eventLoops;
+        this.ownsEventLoops = ownsEventLoops;
         this.executor = executor;
         this.listener = listener;
         this.metrics = metrics;
         this.encoder = new PeerFrameEncoder(self, settings, metrics);
         ChannelFuture bindFuture = bind(port);
         if (!bindFuture.isSuccess()) {
-            Channels.shutdown(eventLoops);
+            shutdownOwnedLoops();
             throw new IOException(
                     "cannot listen on " + settings.localHost() + ":" + port, bindFuture.cause());
         }
         this.listeningChannel = bindFuture.channel();
     }
 
+    /**
+     * Opens the listening socket of a server that runs on event loops of the caller and leaves them
+     * open when it is closed.
+     *
+     * @param eventLoops group with a single loop, on which the listener is called too
+     * @throws IOException if the port cannot be bound
+     */
+    public static PeerServer onSharedLoop(
+            TransportSettings settings,
+            int port,
+            String self,
+            EventLoopGroup eventLoops,
+            PeerListener listener,
+            TransportMetrics metrics)
+            throws IOException {
+        return new PeerServer(
+                settings, port, self, eventLoops, false, eventLoops.next(), listener, metrics);
+    }
+
+    private void shutdownOwnedLoops() {
+        if (ownsEventLoops) {
+            Channels.shutdown(eventLoops);
+        }
+    }
+
     private ChannelFuture bind(int port) {
         return new ServerBootstrap()
                 .group(eventLoops)
@@ -116,7 +164,7 @@
         acceptedChannels
                 .close()
                 .awaitUninterruptibly(Channels.SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-        Channels.shutdown(eventLoops);
+        shutdownOwnedLoops();
     }
 
     private final class ConnectionEvents implements PeerChannel.Events {
--- a/app/src/main/java/org/ragwortmoor/transport/TransportMetrics.java
+++ b/app/src/main/java/org/ragwortmoor/transport/TransportMetrics.java
@@ -28,24 +28,28 @@
                         .name("ragwortmoor_transport_frames_total")
                         .help("Frames by peer and direction")
                         .labelNames("peer", "direction")
+                        .withoutExemplars()
                         .register(registry);
         this.bytes =
                 Counter.builder()
                         .name("ragwortmoor_transport_bytes_total")
                         .help("Bytes of frames by peer and direction, with the length prefix")
                         .labelNames("peer", "direction")
+                        .withoutExemplars()
                         .register(registry);
         this.errors =
                 Counter.builder()
                         .name("ragwortmoor_transport_errors_total")
                         .help("Failed connections, refused frames and full buffers by peer")
                         .labelNames("peer", "kind")
+                        .withoutExemplars()
                         .register(registry);
         this.dropped =
                 Counter.builder()
                         .name("ragwortmoor_transport_dropped_messages_total")
                         .help("Messages that left a full queue unsent, by peer")
                         .labelNames("peer")
+                        .withoutExemplars()
                         .register(registry);
     }
 
