Give each server connection a workspace, and gather them at holders

Cause: a server has to know the workspace of every connection, so a connection cannot serve two of them. With one pool for all, and holders that were chosen by proxy, every holder would have needed connections of every workspace.

Change: CONNECT names the workspace, or the fixed word where there is none. Idle connections are found by workspace; if the share is used up, the least recently used idle connection of another workspace is closed first. Openings under way are counted per workspace. No connection is opened in advance where there are workspaces; probes use the least recently used idle connection without counting as a use, or open one with the fixed word. Reads prefer a server with an idle connection of the workspace; the constants are unchanged. The candidates of a workspace start with its holder by a hash of group and workspace, also at a holder. A holder whose connections are all in use declines the first statement, and the next holder takes it; if all are, the first one keeps it. Idle connections of removed workspaces are closed.

--- a/core/src/main/java/org/ragwortmoor/coordination/placement/HolderRanking.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/placement/HolderRanking.java
@@ -28,6 +28,22 @@
      * Returns the ranking for a group.
      *
      * @param self this proxy
+     * @param neighbours live proxies of the failure domain; empty if unknown
+     */
+    public static HolderRanking of(
+            ConnectionPlan plan, String group, String self, List<String> neighbours) {
+        if (plan.direct()) {
+            return direct(group, self, neighbours);
+        }
+        return neighbours.isEmpty()
+                ? unknown(self)
+                : of(group, self, neighbours, plan.holdersPerDomain());
+    }
+
+    /**
+     * Returns the ranking for a group whose connections are held by some proxies.
+     *
+     * @param self this proxy
      * @param members live proxies of the failure domain
      * @param holderCount number of holders
      */
@@ -50,6 +66,26 @@
         return new HolderRanking(Set.copyOf(holders), new ArrayList<>(candidates));
     }
 
+    /**
+     * Returns the candidates in the order in which this proxy uses them for a workspace. All
+     * proxies that know the same holders start with the same one, so that the connections of a
+     * workspace gather there.
+     *
+     * @param workspace name of the workspace; if it is empty, the order is that of {@link
+     *     #candidates()}
+     */
+    public List<String> candidates(String group, String workspace) {
+        if (workspace.isEmpty() || holders.size() <= 1) {
+            return candidates;
+        }
+        Map<String, Double> weights = new HashMap<>();
+        holders.forEach(holder -> weights.put(holder, 1.0));
+        Set<String> ordered =
+                new LinkedHashSet<>(RendezvousHash.rank(group + '\n' + workspace, weights));
+        ordered.addAll(candidates);
+        return List.copyOf(ordered);
+    }
+
     /** Returns the ranking while the other proxies are unknown: no proxy holds connections. */
     public static HolderRanking unknown(String self) {
         return new HolderRanking(Set.of(), List.of(self));
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
@@ -3,6 +3,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.ragwortmoor.state.routes.Route;
+import org.ragwortmoor.state.routes.RouteKind;
 
 /** A queued request for a server connection. */
 final class ConnectionRequest {
@@ -11,7 +13,16 @@
         /** Only the leader of the group. */
         LEADER,
         /** Any server that accepts reads. */
-        ANY
+        ANY;
+
+        /**
+         * Returns the servers that can execute statements of a route.
+         *
+         * @param readOnly whether the statements only read
+         */
+        static Target of(Route route, boolean readOnly) {
+            return readOnly && route.kind() != RouteKind.PRIMARY ? ANY : LEADER;
+        }
     }
 
     /** Receives the outcome of a request, once, unless the request is cancelled. */
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedAutocommit.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedAutocommit.java
@@ -1,8 +1,6 @@
 package org.ragwortmoor.coordination.session;
 
 import io.vavr.control.Option;
-import java.util.HashSet;
-import java.util.Set;
 import org.ragwortmoor.state.statement.ErrorCode;
 
 /**
@@ -18,7 +16,7 @@
     private final HolderSelector selector;
     private final ServerGroup group;
     private final RoutedStatement statement;
-    private final Set<String> declined = new HashSet<>();
+    private final HolderAttempts tried;
     private Option<HolderLink> link = Option.none();
     private Option<StatementExecution> local = Option.none();
     private SessionHost.Timer timer;
@@ -38,11 +36,12 @@
         this.selector = group.holders();
         this.group = group;
         this.statement = statement;
+        this.tried = new HolderAttempts(session.workspace(), statement.target());
     }
 
     @Override
     public void start() {
-        send(selector.select(declined));
+        send(selector.select(tried));
     }
 
     @Override
@@ -108,8 +107,8 @@
             return;
         }
         link.forEach(l -> l.end(stream));
-        declined.add(proxy);
-        send(selector.select(declined));
+        tried.recordDeclined(proxy);
+        send(selector.select(tried));
     }
 
     private void handleTimeout() {
@@ -138,13 +137,12 @@
             finish();
             log(failed.server(), failed.code(), failed.reason());
             session.answerError(failed.code(), failed.reason(), failed.retryAfterMillis());
-        } else if (result instanceof ForwardedResult.Declined) {
-            selector.recordDeclined(proxy);
-            declined.add(proxy);
-            send(selector.select(declined));
+        } else if (result instanceof ForwardedResult.Declined declined) {
+            selector.recordDeclined(proxy, declined, tried);
+            send(selector.select(tried));
         } else if (statement.isRead()) {
-            declined.add(proxy);
-            send(selector.select(declined));
+            tried.recordDeclined(proxy);
+            send(selector.select(tried));
         } else {
             fail(ErrorCode.INDOUBT.name(), "the answer of proxy " + proxy + " was lost");
         }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedResult.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedResult.java
@@ -37,7 +37,14 @@
             implements ForwardedResult {}
 
     /** The statement was not sent to a server; another proxy may execute it. */
-    record Declined(String reason) implements ForwardedResult {}
+    record Declined(String reason) implements ForwardedResult {
+        /** Reason of a proxy whose connections are all in use; other holders may have free ones. */
+        public static final String CONNECTIONS_USED_UP = "all connections are in use";
+
+        boolean connectionsUsedUp() {
+            return reason.equals(CONNECTIONS_USED_UP);
+        }
+    }
 
     /** The link was lost before the answer arrived; the statement may have been executed. */
     record Lost(String reason) implements ForwardedResult {}
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedTransaction.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ForwardedTransaction.java
@@ -1,8 +1,6 @@
 package org.ragwortmoor.coordination.session;
 
 import io.vavr.control.Option;
-import java.util.HashSet;
-import java.util.Set;
 import org.ragwortmoor.state.routes.Route;
 import org.ragwortmoor.state.statement.ErrorCode;
 
@@ -22,7 +20,7 @@
     private final Route route;
     private final boolean readOnly;
     private final long beganAt;
-    private final Set<String> declined = new HashSet<>();
+    private final HolderAttempts tried;
     private Option<CallerTransaction> local = Option.none();
     private Option<HolderLink> link = Option.none();
     private RoutedStatement currentStatement;
@@ -51,6 +49,9 @@
         this.route = route;
         this.readOnly = readOnly;
         this.beganAt = beganAt;
+        this.tried =
+                new HolderAttempts(
+                        session.workspace(), ConnectionRequest.Target.of(route, readOnly));
     }
 
     @Override
@@ -114,7 +115,7 @@
 
     private void select() {
         cancelTimer();
-        HolderSelector.Choice choice = selector.select(declined);
+        HolderSelector.Choice choice = selector.select(tried);
         if (choice.link().isEmpty() || ++attempts > SessionSettings.MAX_ATTEMPTS) {
             CallerTransaction transaction =
                     new PinnedTransaction(session, group, route, readOnly, beganAt);
@@ -165,20 +166,15 @@
         } else if (result instanceof ForwardedResult.Declined reason && statementExecuted) {
             link = Option.none();
             abort(ErrorCode.ABORTED.name(), reason.reason());
-        } else if (result instanceof ForwardedResult.Declined) {
-            selector.recordDeclined(proxy);
-            retryElsewhere();
+        } else if (result instanceof ForwardedResult.Declined declined) {
+            selector.recordDeclined(proxy, declined, tried);
+            link = Option.none();
+            select();
         } else {
             handleLost("the link to proxy " + proxy + " was lost");
         }
     }
 
-    private void retryElsewhere() {
-        declined.add(proxy);
-        link = Option.none();
-        select();
-    }
-
     private void handleSucceeded(ForwardedResult.Succeeded succeeded) {
         boolean committed = committing();
         statementExecuted = true;
--- a/core/src/main/java/org/ragwortmoor/coordination/session/HolderSelector.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/HolderSelector.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.ragwortmoor.coordination.placement.HolderRanking;
 
 /**
@@ -63,22 +62,35 @@
         return ranking.candidates().stream().anyMatch(c -> link(c).exists(HolderLink::usable));
     }
 
-    /** Avoids a proxy for a while. */
-    void recordDeclined(String proxy) {
+    /**
+     * Records that a proxy has declined a statement. It is avoided for a while, unless only its
+     * connections are used up, which may change with the next statement that ends.
+     */
+    void recordDeclined(String proxy, ForwardedResult.Declined declined, HolderAttempts attempts) {
+        if (declined.connectionsUsedUp()) {
+            attempts.recordUsedUp(proxy);
+            return;
+        }
+        attempts.recordDeclined(proxy);
         declinedUntil.put(proxy, host.now() + SessionSettings.DECLINED_AVOIDANCE_NANOS);
     }
 
     /**
-     * Selects a proxy.
+     * Selects a proxy. The connections of a workspace gather at its first holder; the next holder
+     * takes what the first one has no connections for.
      *
-     * @param tried proxies that have declined the statement
+     * @param attempts proxies that have declined the statement
      */
-    Choice select(Set<String> tried) {
-        if (tried.isEmpty() && holdsConnections() && !group.leaderUnreachable()) {
+    Choice select(HolderAttempts attempts) {
+        String workspace = attempts.workspace();
+        if (workspace.isEmpty()
+                && attempts.none()
+                && holdsConnections()
+                && !group.leaderUnreachable()) {
             return local;
         }
         List<String> reachable = new ArrayList<>();
-        for (String candidate : ranking.candidates()) {
+        for (String candidate : ranking.candidates(group.name(), workspace)) {
             if (candidate.equals(self)
                     ? holdsConnections()
                     : link(candidate).exists(HolderLink::usable)) {
@@ -86,11 +98,36 @@
             }
         }
         List<String> willing =
-                reachable.stream().filter(c -> !tried.contains(c) && !avoided(c)).toList();
-        if (!willing.isEmpty()) {
+                reachable.stream().filter(c -> !attempts.declined(c) && !avoided(c)).toList();
+        if (willing.isEmpty()) {
+            return choice(reachable.isEmpty() ? self : reachable.get(0), false);
+        }
+        return workspace.isEmpty()
+                ? choice(willing.get(0), willing.size() > 1)
+                : choiceWithConnections(willing, attempts);
+    }
+
+    /**
+     * Chooses the first holder that has connections left. If none has, the first one keeps the
+     * statement: the connections of a proxy that is no holder would exceed the servers' limit.
+     */
+    private Choice choiceWithConnections(List<String> willing, HolderAttempts attempts) {
+        List<String> holders = willing.stream().filter(ranking::holds).toList();
+        if (holders.isEmpty()) {
             return choice(willing.get(0), willing.size() > 1);
         }
-        return choice(reachable.isEmpty() ? self : reachable.get(0), false);
+        for (String holder : holders) {
+            if (!usedUp(holder, attempts)) {
+                return choice(holder, willing.size() > 1);
+            }
+        }
+        return choice(holders.get(0), false);
+    }
+
+    private boolean usedUp(String holder, HolderAttempts attempts) {
+        return holder.equals(self)
+                ? group.connectionsUsedUp(attempts.workspace(), attempts.target())
+                : attempts.usedUp(holder);
     }
 
     private Choice choice(String proxy, boolean mayDecline) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/HolderStream.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/HolderStream.java
@@ -54,6 +54,10 @@
             return;
         }
         group.markUsed();
+        if (connectionsUsedUp(statement, routed.get())) {
+            decline(ForwardedResult.Declined.CONNECTIONS_USED_UP);
+            return;
+        }
         if (statement.mode() == ForwardedStatement.Mode.AUTOCOMMIT) {
             StatementExecution execution = new AutocommitStatement(this, group, routed.get());
             autocommitStatement = Option.some(execution);
@@ -64,6 +68,18 @@
         declineIfLeaderUnreachable();
     }
 
+    /** Returns whether another holder may execute the first statement of a workspace earlier. */
+    private boolean connectionsUsedUp(ForwardedStatement statement, RoutedStatement routed) {
+        if (!mayDecline || workspace.isEmpty() || transaction.isDefined()) {
+            return false;
+        }
+        ConnectionRequest.Target target =
+                statement.mode() == ForwardedStatement.Mode.TRANSACTION
+                        ? ConnectionRequest.Target.LEADER
+                        : routed.target();
+        return group.connectionsUsedUp(workspace, target);
+    }
+
     private void executeInTransaction(ForwardedStatement statement, RoutedStatement routed) {
         if (transaction.isEmpty()) {
             long age = TimeUnit.MILLISECONDS.toNanos(statement.transactionAgeMillis());
--- /dev/null
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/IdleConnections.java
@@ -0,0 +1,75 @@
+package org.ragwortmoor.coordination.session;
+
+import io.vavr.control.Option;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+
+/** The idle connections to one server, the most recently used one first. */
+final class IdleConnections {
+    private final Deque<ServerConnection> connections = new ArrayDeque<>();
+
+    int count() {
+        return connections.size();
+    }
+
+    int count(String workspace) {
+        int count = 0;
+        for (ServerConnection connection : connections) {
+            if (connection.workspace().equals(workspace)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    List<ServerConnection> copy() {
+        return List.copyOf(connections);
+    }
+
+    void addMostRecent(ServerConnection connection) {
+        connections.addFirst(connection);
+    }
+
+    void addLeastRecent(ServerConnection connection) {
+        connections.addLast(connection);
+    }
+
+    void remove(ServerConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Returns the least recently used connection, or null. */
+    ServerConnection leastRecent() {
+        return connections.peekLast();
+    }
+
+    /**
+     * Removes and returns a connection of a workspace, preferably one with the same session values.
+     */
+    Option<ServerConnection> take(String workspace, Map<String, String> values) {
+        ServerConnection best = null;
+        for (ServerConnection connection : connections) {
+            if (!connection.workspace().equals(workspace)) {
+                continue;
+            }
+            if (connection.valuesKnown() && connection.values().equals(values)) {
+                best = connection;
+                break;
+            }
+            if (best == null || connection.values().isEmpty()) {
+                best = connection;
+            }
+        }
+        if (best != null) {
+            connections.remove(best);
+        }
+        return Option.of(best);
+    }
+
+    /** Removes and returns the least recently used connection. */
+    Option<ServerConnection> takeLeastRecent() {
+        return Option.of(connections.pollLast());
+    }
+}
--- a/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
@@ -1,7 +1,6 @@
 package org.ragwortmoor.coordination.session;
 
 import io.vavr.control.Option;
-import java.util.Map;
 import org.ragwortmoor.state.Position;
 
 /**
@@ -183,10 +182,10 @@
 
     /** Probes a server by beginning and rolling back a transaction, which needs no slot. */
     private void sendProbe(Server server, Runnable done) {
-        Option<ServerConnection> idle = server.acquireIdle(Map.of());
+        Option<ServerConnection> idle = server.acquireForProbe();
         if (idle.isEmpty()) {
             if (server.opening() == 0 && server.canOpen(group.share())) {
-                server.open();
+                server.open("");
             }
             done.run();
             return;
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ReadServerSelector.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ReadServerSelector.java
@@ -48,9 +48,11 @@
                     server.acceptsReads()
                             && !request.excluded().contains(server.record().id())
                             && !server.unresponsive();
-            boolean hasIdle = server.idleCount() > 0;
+            boolean hasIdle = server.idleCount(request.workspace()) > 0;
             // A server that did not accept the last connection may not accept the next one either.
-            boolean canOpen = server.opening() > 0 || server.canOpen(share);
+            boolean canOpen =
+                    server.opening(request.workspace()) > 0
+                            || server.canOpen(share, request.workspace());
             if (!eligible
                     || !(hasIdle
                             || (canOpen && !server.lastOpenFailed() && !server.slowToOpen()))) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/RoutedStatement.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/RoutedStatement.java
@@ -86,4 +86,9 @@
     boolean isRead() {
         return kind == Kind.READ;
     }
+
+    /** Returns the servers that can execute the statement outside of a transaction. */
+    ConnectionRequest.Target target() {
+        return ConnectionRequest.Target.of(route, isRead());
+    }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -1,26 +1,37 @@
 package org.ragwortmoor.coordination.session;
 
 import io.vavr.control.Option;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
-
-/** A database server and the connection pool of this proxy to it. */
+import org.ragwortmoor.state.statement.MessageKind;
+import org.ragwortmoor.state.statement.NameField;
+import org.ragwortmoor.state.statement.StatementMessage;
+
+/**
+ * A database server and the connection pool of this proxy to it. A connection belongs to one
+ * workspace for its lifetime, or to none.
+ */
 final class Server {
     /** Weight of the newest sample in the moving average of the latency. */
     private static final double LATENCY_WEIGHT = 0.2;
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** What servers are told on connections that belong to no workspace. */
+    private static final String NO_WORKSPACE = "ragwortmoor";
+
     private final SessionHost host;
     private final ServerGroup group;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
-    private final Deque<ServerConnection> idle = new ArrayDeque<>();
+    private final IdleConnections idle = new IdleConnections();
+    private final Set<ServerConnection> probing = new HashSet<>();
+    private final Map<String, Integer> openingByWorkspace = new HashMap<>();
     private ServerRecord record;
     private int opening;
     private long openingStartedAt;
@@ -54,6 +65,12 @@
         return group.log();
     }
 
+    /** Returns the message that starts a connection of a workspace, or of none. */
+    StatementMessage handshake(String workspace) {
+        String name = workspace.isEmpty() ? NO_WORKSPACE : NameField.format(workspace);
+        return StatementMessage.of(MessageKind.CONNECT, record.group(), name, record.id());
+    }
+
     void update(ServerRecord newRecord) {
         boolean notReady = newRecord.state() != ServerState.READY;
         if (notReady && record.state() == ServerState.READY) {
@@ -165,15 +182,23 @@
     }
 
     int inUse() {
-        return connections.size() - idle.size() - opening;
+        return connections.size() - idle.count() - opening;
     }
 
     int opening() {
         return opening;
     }
 
+    int opening(String workspace) {
+        return openingByWorkspace.getOrDefault(workspace, 0);
+    }
+
     int idleCount() {
-        return idle.size();
+        return idle.count();
+    }
+
+    int idleCount(String workspace) {
+        return idle.count(workspace);
     }
 
     int connectionCount() {
@@ -186,17 +211,46 @@
      * for a while.
      */
     boolean canOpen(ConnectionShare share) {
+        return mayStartOpening() && connections.size() < limit(share);
+    }
+
+    /**
+     * Returns whether a connection of a workspace may be opened, if need be in place of an idle
+     * connection of another one.
+     */
+    boolean canOpen(ConnectionShare share, String workspace) {
+        boolean room = connections.size() < limit(share) || idle.count() > idle.count(workspace);
+        return room && mayStartOpening();
+    }
+
+    private boolean mayStartOpening() {
         // Opening a connection occupies a slot of the server, for which statements then wait.
-        if (backingOff() || opening >= Math.max(1, record.slots())) {
-            return false;
-        }
+        return !backingOff() && opening < Math.max(1, record.slots());
+    }
+
+    private int limit(ConnectionShare share) {
         boolean overloaded = host.now() - overloadedAt < SessionSettings.OVERLOAD_BACKOFF_NANOS;
-        return connections.size() < (overloaded ? share.guaranteed() : share.maximum());
+        return overloaded ? share.guaranteed() : share.maximum();
+    }
+
+    /** Returns whether a request of the workspace has to wait for a statement to end. */
+    boolean usedUp(ConnectionShare share, String workspace) {
+        return idle.count() == 0 && opening(workspace) == 0 && connections.size() >= limit(share);
+    }
+
+    /** Closes an idle connection of another workspace if the share is used up. */
+    void makeRoom(ConnectionShare share, String workspace) {
+        ServerConnection oldest = idle.leastRecent();
+        if (connections.size() >= limit(share)
+                && oldest != null
+                && !oldest.workspace().equals(workspace)) {
+            oldest.close("its place is used for another workspace");
+        }
     }
 
     /** Closes the oldest idle connection beyond the retained ones once its idle time is over. */
     void closeSurplusIdle(ConnectionShare share) {
-        ServerConnection oldest = idle.peekLast();
+        ServerConnection oldest = idle.leastRecent();
         boolean surplus = oldest != null && connections.size() > share.retained();
         if (surplus
                 && host.now() - oldest.idleSince() > SessionSettings.SURPLUS_IDLE_TIMEOUT_NANOS) {
@@ -204,31 +258,48 @@
         }
     }
 
-    void open() {
+    /** Closes idle connections of workspaces that no longer exist. */
+    void closeIdleOfRemovedWorkspaces() {
+        for (ServerConnection connection : idle.copy()) {
+            long idleTime = host.now() - connection.idleSince();
+            if (idleTime > SessionSettings.SURPLUS_IDLE_TIMEOUT_NANOS
+                    && !group.hasWorkspace(connection.workspace())) {
+                connection.close("the workspace was removed");
+            }
+        }
+    }
+
+    /** Opens a connection of a workspace, or of none if the name is empty. */
+    void open(String workspace) {
         if (opening == 0) {
             openingStartedAt = host.now();
         }
         opening++;
-        connections.add(
-                new ServerConnection(host, this, host.now() + SessionSettings.OPEN_TIMEOUT_NANOS));
+        openingByWorkspace.merge(workspace, 1, Integer::sum);
+        long deadline = host.now() + SessionSettings.OPEN_TIMEOUT_NANOS;
+        connections.add(new ServerConnection(host, this, workspace, deadline));
     }
 
-    /** Removes and returns an idle connection, preferably one with the same session values. */
-    Option<ServerConnection> acquireIdle(Map<String, String> values) {
-        ServerConnection best = null;
-        for (ServerConnection connection : idle) {
-            if (connection.valuesKnown() && connection.values().equals(values)) {
-                best = connection;
-                break;
-            }
-            if (best == null || connection.values().isEmpty()) {
-                best = connection;
-            }
-        }
-        if (best != null) {
-            idle.remove(best);
+    /**
+     * Removes and returns an idle connection of a workspace, preferably one with the same session
+     * values.
+     */
+    Option<ServerConnection> acquireIdle(String workspace, Map<String, String> values) {
+        return idle.take(workspace, values);
+    }
+
+    /**
+     * Removes and returns an idle connection for a probe, which any connection can carry. Where
+     * there are workspaces, it is the one that is needed the least, and the probe does not count as
+     * a use of it.
+     */
+    Option<ServerConnection> acquireForProbe() {
+        if (!group.hasWorkspaces()) {
+            return idle.take("", Map.of());
         }
-        return Option.of(best);
+        Option<ServerConnection> connection = idle.takeLeastRecent();
+        connection.forEach(probing::add);
+        return connection;
     }
 
     /** Returns a connection without an open transaction to the pool. */
@@ -245,23 +316,34 @@
             group.dispatch();
             return;
         }
-        connection.markIdle(host.now());
-        idle.addFirst(connection);
+        if (probing.remove(connection)) {
+            idle.addLeastRecent(connection);
+        } else {
+            connection.markIdle(host.now());
+            idle.addMostRecent(connection);
+        }
         group.dispatch();
     }
 
-    void connectionOpened(ServerConnection connection) {
+    private void openingEnded(ServerConnection connection) {
         opening--;
+        openingByWorkspace.merge(
+                connection.workspace(), -1, (a, b) -> a + b == 0 ? null : Integer.valueOf(a + b));
+    }
+
+    void connectionOpened(ServerConnection connection) {
+        openingEnded(connection);
         connection.markIdle(host.now());
-        idle.addFirst(connection);
+        idle.addMostRecent(connection);
         group.dispatch();
     }
 
     void connectionClosed(ServerConnection connection, String reason, boolean wasReady) {
         connections.remove(connection);
         idle.remove(connection);
+        probing.remove(connection);
         if (!wasReady) {
-            opening--;
+            openingEnded(connection);
             // A server that answers the handshake with an error is reachable but full.
             if (lastReceivedAt - openingStartedAt >= 0) {
                 overloadedAt = host.now();
@@ -277,7 +359,7 @@
     }
 
     void closeIdle() {
-        for (ServerConnection connection : Set.copyOf(idle)) {
+        for (ServerConnection connection : idle.copy()) {
             connection.close("the server is draining");
         }
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerConnection.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerConnection.java
@@ -29,6 +29,7 @@
 
     private final SessionHost host;
     private final Server server;
+    private final String workspace;
     private final SessionHost.ServerLink link;
     private final Deque<Exchange> pending = new ArrayDeque<>();
     private final Map<String, String> values = new LinkedHashMap<>();
@@ -48,9 +49,10 @@
     private StatementMessage completion;
 
     /** Starts to open a connection; the server is notified of the outcome. */
-    ServerConnection(SessionHost host, Server server, long openDeadline) {
+    ServerConnection(SessionHost host, Server server, String workspace, long openDeadline) {
         this.host = host;
         this.server = server;
+        this.workspace = workspace;
         this.link = host.connect(server.record(), this);
         this.openTimer = host.schedule(openDeadline, () -> close("not open in time"));
     }
@@ -59,6 +61,11 @@
         return server;
     }
 
+    /** Returns the workspace that the server was told; empty if it is none. */
+    String workspace() {
+        return workspace;
+    }
+
     boolean usable() {
         return ready && !closed;
     }
@@ -192,11 +199,7 @@
 
     @Override
     public void opened() {
-        String group = server.record().group();
-        link.send(
-                List.of(
-                        StatementMessage.of(
-                                MessageKind.CONNECT, group, "ragwortmoor", server.record().id())));
+        link.send(List.of(server.handshake(workspace)));
     }
 
     @Override
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.coordination.admission.OutageForecast;
 import org.ragwortmoor.coordination.admission.WaitingOrder;
@@ -31,6 +32,7 @@
             new WaitingOrder<>(ConnectionRequest::priority, ConnectionRequest::deadline);
     private final HolderSelector holders;
     private ConnectionShare share = new ConnectionShare(1, 0, 1);
+    private Option<Set<String>> workspaces = Option.none();
     private Option<Long> lastUsedAt = Option.none();
     private boolean wasActive;
     private boolean dispatching;
@@ -70,6 +72,20 @@
         return share;
     }
 
+    /** Sets the names of the workspaces; none if there are no workspaces. */
+    void setWorkspaces(Option<Set<String>> names) {
+        workspaces = names;
+    }
+
+    boolean hasWorkspaces() {
+        return workspaces.isDefined();
+    }
+
+    /** Returns whether connections of a workspace, or of none if it is empty, can be of use. */
+    boolean hasWorkspace(String workspace) {
+        return workspace.isEmpty() || workspaces.exists(names -> names.contains(workspace));
+    }
+
     int waitingCount() {
         return pendingRequests.size();
     }
@@ -173,13 +189,16 @@
     void tick() {
         for (Server server : servers.values()) {
             int available = server.idleCount() + server.opening();
-            if (share.retained() > 0
+            // With many workspaces, the one of the next statement is not known in advance.
+            if (!hasWorkspaces()
+                    && share.retained() > 0
                     && server.acceptsReads()
                     && available < SessionSettings.MIN_IDLE_CONNECTIONS
                     && server.canOpen(share)) {
-                server.open();
+                server.open("");
             }
             server.closeSurplusIdle(share);
+            server.closeIdleOfRemovedWorkspaces();
         }
         activateIfNeeded();
         if (wasActive) {
@@ -303,8 +322,9 @@
     }
 
     private void dispatchOnce() {
-        Map<Server, Integer> openingsNeeded = new HashMap<>();
+        Map<Opening, Integer> openingsNeeded = new HashMap<>();
         for (ConnectionRequest request : pendingRequests.inOrder()) {
+            String workspace = request.workspace();
             Server server = selectServer(request);
             if (server == null) {
                 if (request.target() == ConnectionRequest.Target.ANY
@@ -314,17 +334,35 @@
                 }
                 continue;
             }
-            if (server.idleCount() > 0 && pendingRequests.remove(request)) {
-                server.acquireIdle(request.values()).forEach(request.listener()::granted);
+            if (server.idleCount(workspace) > 0 && pendingRequests.remove(request)) {
+                server.acquireIdle(workspace, request.values())
+                        .forEach(request.listener()::granted);
                 continue;
             }
-            int needed = openingsNeeded.merge(server, 1, Integer::sum);
-            if (needed > server.opening() && server.canOpen(share)) {
-                server.open();
+            int needed = openingsNeeded.merge(new Opening(server, workspace), 1, Integer::sum);
+            if (needed > server.opening(workspace) && server.canOpen(share, workspace)) {
+                server.makeRoom(share, workspace);
+                server.open(workspace);
             }
         }
     }
 
+    private record Opening(Server server, String workspace) {}
+
+    /**
+     * Returns whether a statement of a workspace has to wait here until another one ends, since
+     * this proxy may open no more connections and those that it has are in use.
+     */
+    boolean connectionsUsedUp(String workspace, ConnectionRequest.Target target) {
+        Server current = leader.server();
+        if (target == ConnectionRequest.Target.LEADER) {
+            return current != null && current.usedUp(share, workspace);
+        }
+        return !servers.isEmpty()
+                && servers.values().stream()
+                        .allMatch(s -> !s.acceptsReads() || s.usedUp(share, workspace));
+    }
+
     private Server selectServer(ConnectionRequest request) {
         Server current = leader.server();
         if (request.target() == ConnectionRequest.Target.LEADER) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -29,6 +29,7 @@
     private final ForwardingStreams streams = new ForwardingStreams();
     private DirectoryView view = DirectoryView.EMPTY;
     private Map<String, Route> routes = Map.of();
+    private Option<Set<String>> workspaces = Option.none();
     private boolean leasesRequired = true;
     private boolean stopping;
     private boolean isolated;
@@ -118,6 +119,7 @@
                         newView.fleet());
         if (routesChanged) {
             routes = view.routes().byDatabase();
+            workspaces = view.routes().workspaceNames();
         }
         updateGroups();
         log.directoryApplied(
@@ -145,20 +147,16 @@
             ConnectionPlan plan =
                     ConnectionPlan.of(
                             limits.get().maxConnections(), fleet.proxies(), fleet.domains());
-            group.update(servers, plan, ranking(group.name(), plan, fleet), fleet);
+            List<String> neighbours = fleet.neighbours().keySet().toJavaList();
+            group.setWorkspaces(workspaces);
+            group.update(
+                    servers,
+                    plan,
+                    HolderRanking.of(plan, group.name(), self.name(), neighbours),
+                    fleet);
         }
     }
 
-    private HolderRanking ranking(String group, ConnectionPlan plan, Fleet fleet) {
-        List<String> neighbours = fleet.neighbours().keySet().toJavaList();
-        if (plan.direct()) {
-            return HolderRanking.direct(group, self.name(), neighbours);
-        }
-        return neighbours.isEmpty()
-                ? HolderRanking.unknown(self.name())
-                : HolderRanking.of(group, self.name(), neighbours, plan.holdersPerDomain());
-    }
-
     /** Performs periodic work; to be called every {@link #tickNanos}. */
     public void tick() {
         groups.values().forEach(ServerGroup::tick);
--- a/core/src/main/java/org/ragwortmoor/state/routes/RouteTable.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/RouteTable.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.ragwortmoor.state.statement.NameField;
 import org.ragwortmoor.state.workspace.Workspace;
 
@@ -60,6 +62,12 @@
         return found;
     }
 
+    /** Returns the names of the workspaces; none if callers need no keys. */
+    public Option<Set<String>> workspaceNames() {
+        return workspaces.map(
+                list -> list.stream().map(Workspace::name).collect(Collectors.toUnmodifiableSet()));
+    }
+
     /** Returns the limits of a group, if the table has it. */
     public Option<GroupLimits> group(String name) {
         return Option.ofOptional(groups.stream().filter(g -> g.name().equals(name)).findFirst());
