--- a/core/src/main/java/org/ragwortmoor/state/routes/RouteTableCheck.java
+++ b/core/src/main/java/org/ragwortmoor/state/routes/RouteTableCheck.java
@@ -7,7 +7,11 @@
 public interface RouteTableCheck {
     /** All checks, in the order in which they run. */
     List<RouteTableCheck> ALL =
-            List.of(new KnownGroups(), new UniqueRoutes(), new PositiveTimeouts());
+            List.of(
+                    new KnownGroups(),
+                    new UniqueRoutes(),
+                    new PositiveTimeouts(),
+                    new UnsharedKeys());
 
     /** Returns a message with the first problem of the table and its remedy, if any. */
     Option<String> problem(RouteTable table);
