Ask the operation gate before an operation starts

Cause: quotas decide about each operation at the proxy of the caller, and sessions had no place to ask.

Change: CallerSession asks the gate once for a statement outside of a transaction, and before the first statement of a transaction that goes to a server. The operation may wait for a quarter of the latency objective of its route (of the timeout, where the route has no objective), at most until its send deadline. A refusal is answered with OVERLOAD, its reason and its delay, and fails the transaction. SessionEngine.setOperationGate sets the gate; every operation is permitted by default.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
@@ -5,8 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.routes.Route;
 import org.ragwortmoor.state.statement.ErrorCode;
 import org.ragwortmoor.state.statement.MessageKind;
@@ -19,15 +17,15 @@
 public final class CallerSession {
     private final SessionEngine engine;
     private final SessionHost.CallerLink link;
-    private final Context context = new Context();
-    private final SessionState state = new SessionState();
-    private final SessionConsistency consistency = new SessionConsistency();
+    private final CallerContext context;
     private final Deque<StatementMessage> backlog = new ArrayDeque<>();
     private String database = "";
     private String workspace = "";
     private CallerTransaction transaction;
     private StatementExecution autocommitStatement;
-    private SessionHost.Timer idleTimer;
+    private final IdleTransactionTimer idleTimer;
+    private final OperationStart operationStart = new OperationStart();
+    private boolean transactionAdmitted;
     private boolean handshakeDone;
     private boolean busy;
     private boolean closed;
@@ -35,6 +33,10 @@
     CallerSession(SessionEngine engine, SessionHost.CallerLink link) {
         this.engine = engine;
         this.link = link;
+        this.context = new CallerContext(engine, this);
+        this.idleTimer =
+                new IdleTransactionTimer(
+                        engine, () -> abortIdleTransaction("transaction idle for too long"));
     }
 
     /** Handles a message of the caller; queues it while a statement is in progress. */
@@ -89,10 +91,15 @@
         }
     }
 
-    /** Answers CONNECT once routes are known or the wait for them has timed out. */
-    void completeHandshake() {
+    /**
+     * Answers CONNECT once routes are known or the wait for them has timed out.
+     *
+     * @param mayWait whether the answer may be left for a later call
+     * @return whether CONNECT has been answered
+     */
+    boolean completeHandshake(boolean mayWait) {
         if (closed || handshakeDone) {
-            return;
+            return true;
         }
         Option<Route> route = engine.route(database);
         if (route.isEmpty()) {
@@ -101,10 +108,25 @@
                     unknown ? ErrorCode.NODB.name() : ErrorCode.OVERLOAD.name(),
                     unknown ? "no route has this name" : "no routes are known yet");
             closeSession(unknown ? "no route" : "no routes are known");
-            return;
+            return true;
         }
         handshakeDone = true;
         sendAnswer(List.of(CallerAnswers.ready(ExchangeResult.IDLE, PositionField.NONE)));
+        return true;
+    }
+
+    String database() {
+        return database;
+    }
+
+    /** Returns the name of the caller's workspace; empty if it has none. */
+    String workspace() {
+        return workspace;
+    }
+
+    /** Forgets the transaction, which has ended. */
+    void transactionEnded() {
+        transaction = null;
     }
 
     private void handle(StatementMessage message) {
@@ -127,12 +149,12 @@
             return;
         }
         busy = true;
-        cancelIdleTimer();
+        idleTimer.cancel();
         query(message.field(0), message.field(1));
     }
 
     private void query(String id, String text) {
-        Either<String, Statement> parsed = Statement.parse(text);
+        Either<String, Statement> parsed = CallerStatement.parse(id, text);
         if (transaction != null && transaction.failed()) {
             handleInFailedTransaction(parsed);
             return;
@@ -142,30 +164,12 @@
             return;
         }
         Statement statement = parsed.get();
-        int size = id.length() + text.length();
-        if (RoutedStatement.changedForServers(statement)
-                && size > SessionSettings.MAX_CHANGED_STATEMENT_BYTES) {
-            answerError(
-                    ErrorCode.MALFORMED.name(),
-                    "a statement of this kind may have "
-                            + SessionSettings.MAX_CHANGED_STATEMENT_BYTES
-                            + " bytes");
-            return;
-        }
-        if (statement instanceof Statement.SetValue set) {
-            state.values().put(set.name(), set.value());
-            if (transaction != null) {
-                transaction.markValuesChanged();
-            }
-            answerLocally();
-        } else if (statement instanceof Statement.Prepare prepare) {
-            state.prepared().put(prepare.name(), prepare.shape());
-            answerLocally();
-        } else if (statement instanceof Statement.Deallocate deallocate) {
-            if (state.prepared().remove(deallocate.name()) == null) {
-                answerError(ErrorCode.UNKNOWN.name(), "no statement has this name");
-            } else {
+        if (CallerStatement.isLocal(statement)) {
+            if (CallerStatement.executeLocally(
+                    statement, context.state(), Option.of(transaction))) {
                 answerLocally();
+            } else {
+                answerError(ErrorCode.UNKNOWN.name(), "no statement has this name");
             }
         } else if (statement instanceof Statement.Begin begin) {
             begin(begin);
@@ -207,6 +211,7 @@
                             route.get(),
                             begin.readOnly(),
                             engine.host().now());
+            transactionAdmitted = false;
             answerLocally();
         }
     }
@@ -224,7 +229,7 @@
     private void execute(String id, Statement statement, String text) {
         PreparedShape shape = null;
         if (statement instanceof Statement.Execute execute) {
-            shape = state.prepared().get(execute.name());
+            shape = context.state().prepared().get(execute.name());
             if (shape == null) {
                 answerError(ErrorCode.UNKNOWN.name(), "no statement has this name");
                 return;
@@ -242,16 +247,47 @@
         }
         RoutedStatement routed =
                 RoutedStatement.of(id, statement, text, shape, engine.host().now(), route.get());
-        if (transaction != null) {
+        if (transaction != null && transactionAdmitted) {
             transaction.execute(routed);
             return;
         }
+        operationStart.request(
+                engine.gate(),
+                workspace,
+                routed,
+                () -> start(routed),
+                (reason, retryAfterMillis) -> refuse(routed, reason, retryAfterMillis));
+    }
+
+    /** Starts an operation: a statement outside of a transaction, or the first one inside. */
+    private void start(RoutedStatement statement) {
+        if (transaction != null) {
+            transactionAdmitted = true;
+            transaction.execute(statement);
+            return;
+        }
         autocommitStatement =
                 new ForwardedAutocommit(
-                        context, engine.streams(), engine.group(route.get().group()), routed);
+                        context,
+                        engine.streams(),
+                        engine.group(statement.route().group()),
+                        statement);
         autocommitStatement.start();
     }
 
+    private void refuse(RoutedStatement statement, String reason, int retryAfterMillis) {
+        String code = ErrorCode.OVERLOAD.name();
+        long nanos = engine.host().now() - statement.arrivedAt();
+        context.logStatement(statement.id(), "", code, reason, Option.none(), 0, nanos);
+        if (transaction != null) {
+            transaction.abandon();
+        }
+        if (statement.kind() == RoutedStatement.Kind.COMMIT) {
+            transaction = null;
+        }
+        context.answerError(code, reason, retryAfterMillis);
+    }
+
     private void answerError(String code, String reason) {
         context.answerError(code, reason, SessionSettings.RETRY_AFTER_MILLIS);
     }
@@ -260,7 +296,8 @@
         sendAnswer(CallerAnswers.proxySuccess(transactionState()));
     }
 
-    private String transactionState() {
+    /** Returns the transaction state that answers name. */
+    String transactionState() {
         if (transaction == null) {
             return ExchangeResult.IDLE;
         }
@@ -269,7 +306,8 @@
                 : ExchangeResult.IN_TRANSACTION;
     }
 
-    private void sendAnswer(List<StatementMessage> messages) {
+    /** Ends the statement in progress and handles the next one. */
+    void sendAnswer(List<StatementMessage> messages) {
         autocommitStatement = null;
         busy = false;
         if (closed) {
@@ -277,7 +315,7 @@
         }
         link.send(messages);
         if (transaction != null && !transaction.failed()) {
-            startIdleTimer();
+            idleTimer.start();
         }
         StatementMessage next = backlog.poll();
         if (next != null) {
@@ -287,25 +325,6 @@
         }
     }
 
-    private void startIdleTimer() {
-        cancelIdleTimer();
-        long limit = TimeUnit.MILLISECONDS.toNanos(engine.idleTransactionMillis());
-        if (limit > 0) {
-            idleTimer =
-                    engine.host()
-                            .schedule(
-                                    engine.host().now() + limit,
-                                    () -> abortIdleTransaction("transaction idle for too long"));
-        }
-    }
-
-    private void cancelIdleTimer() {
-        if (idleTimer != null) {
-            idleTimer.cancel();
-            idleTimer = null;
-        }
-    }
-
     private void sendError(String code, String reason) {
         link.send(List.of(StatementMessage.of(MessageKind.ERROR, code, reason)));
     }
@@ -323,7 +342,8 @@
     }
 
     private void releaseResources() {
-        cancelIdleTimer();
+        idleTimer.cancel();
+        operationStart.cancel();
         backlog.clear();
         if (autocommitStatement != null) {
             autocommitStatement.abandon();
@@ -335,60 +355,4 @@
         }
         engine.sessionClosed(this);
     }
-
-    /** Executes the statements of this session. */
-    private final class Context implements StatementContext {
-        @Override
-        public SessionHost host() {
-            return engine.host();
-        }
-
-        @Override
-        public SessionState state() {
-            return state;
-        }
-
-        @Override
-        public SessionConsistency consistency() {
-            return consistency;
-        }
-
-        @Override
-        public PreparedStatementNames statementNames() {
-            return engine.statementNames();
-        }
-
-        @Override
-        public String workspace() {
-            return workspace;
-        }
-
-        @Override
-        public void transactionEnded() {
-            transaction = null;
-        }
-
-        @Override
-        public void answer(ExchangeResult.Completed completed, String transactionState) {
-            sendAnswer(CallerAnswers.serverAnswer(completed, transactionState));
-        }
-
-        @Override
-        public void answerError(String code, String reason, int retryAfterMillis) {
-            sendAnswer(CallerAnswers.error(code, reason, transactionState(), retryAfterMillis));
-        }
-
-        @Override
-        public void logStatement(
-                String id,
-                String server,
-                String outcome,
-                String reason,
-                Option<Position> required,
-                int attempts,
-                long nanos) {
-            engine.log()
-                    .statement(id, database, server, outcome, reason, required, attempts, nanos);
-        }
-    }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.ragwortmoor.coordination.placement.ConnectionPlan;
 import org.ragwortmoor.coordination.placement.HolderRanking;
+import org.ragwortmoor.coordination.workspace.OperationGate;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.routes.GroupLimits;
 import org.ragwortmoor.state.routes.Route;
@@ -24,11 +25,12 @@
     private final PreparedStatementNames statementNames = new PreparedStatementNames();
     private final Map<String, ServerGroup> groups = new LinkedHashMap<>();
     private final Set<CallerSession> sessions = new LinkedHashSet<>();
-    private final Set<CallerSession> awaitingRoutes = new LinkedHashSet<>();
+    private final PendingHandshakes handshakes;
     private final Set<ForwardingSession> forwardingSessions = new LinkedHashSet<>();
     private final ForwardingStreams streams = new ForwardingStreams();
     private DirectoryView view = DirectoryView.EMPTY;
     private Map<String, Route> routes = Map.of();
+    private OperationGate gate = OperationGate.OPEN;
     private boolean leasesRequired = true;
     private boolean stopping;
     private boolean isolated;
@@ -43,6 +45,12 @@
         this.host = host;
         this.self = self;
         this.log = log;
+        this.handshakes = new PendingHandshakes(host);
+    }
+
+    /** Sets what decides whether operations of callers may start; any may by default. */
+    public void setOperationGate(OperationGate newGate) {
+        gate = newGate;
     }
 
     /**
@@ -122,10 +130,7 @@
         updateGroups();
         log.directoryApplied(
                 view.routes().version(), view.routesRevision(), view.serversRevision());
-        for (CallerSession session : List.copyOf(awaitingRoutes)) {
-            awaitingRoutes.remove(session);
-            session.completeHandshake();
-        }
+        handshakes.retry();
     }
 
     private void updateGroups() {
@@ -338,6 +343,10 @@
         forwardingSessions.remove(session);
     }
 
+    OperationGate gate() {
+        return gate;
+    }
+
     DecisionLog log() {
         return log;
     }
@@ -369,18 +378,9 @@
 
     /** Completes the handshake of a session, immediately or when the first routes arrive. */
     void awaitRoutes(CallerSession session) {
-        if (hasRoutes()) {
-            session.completeHandshake();
-            return;
+        if (!hasRoutes() || !session.completeHandshake(true)) {
+            handshakes.add(session);
         }
-        awaitingRoutes.add(session);
-        host.schedule(
-                host.now() + SessionSettings.ROUTES_TIMEOUT_NANOS,
-                () -> {
-                    if (awaitingRoutes.remove(session)) {
-                        session.completeHandshake();
-                    }
-                });
     }
 
     void sessionIdle(CallerSession session) {
@@ -391,6 +391,6 @@
 
     void sessionClosed(CallerSession session) {
         sessions.remove(session);
-        awaitingRoutes.remove(session);
+        handshakes.remove(session);
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -107,6 +107,12 @@
     /** Time after its last use for which a proxy that is no holder probes the leader of a group. */
     static final long GROUP_USE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /**
+     * Part of the latency objective for which an operation may wait for the operation gate, as a
+     * divisor; a later refusal costs the caller more than an early one.
+     */
+    static final int GATE_WAIT_DIVISOR = 4;
+
     /** Maximum number of queued statements per session. */
     static final int MAX_BACKLOG = 64;
 
