Check the key of a caller at CONNECT and for each statement

Cause: a caller is to be served only for the workspace that has its key, and no longer once the key was withdrawn, also in open sessions and transactions.

Change: KeyCheck decides with the known workspaces and KeyAuthority; CallerKey keeps a session's key and workspace, which StatementContext.workspace() returns. An unknown key gets UNAUTH: the session is closed at CONNECT, later each statement is refused and an open transaction rolled back. Where the keys are not confirmed, CONNECT waits as it does for routes, and statements get OVERLOAD at once, which also ends a transaction; ROLLBACK is still executed. A key that moves ends an open transaction with ABORTED, and the next operation belongs to the new workspace. Idle transactions of such keys are aborted as soon as the configuration arrives. On a key-exempt route, callers without a known key need no confirmation; those with a known one do, because they run under its workspace.

--- a/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
@@ -30,6 +30,7 @@
     private final Counter connections;
     private final Counter serverAnswers;
     private final Counter mismatchedAnswers;
+    private final Counter keyRefusals;
     private final Histogram latency;
 
     /**
@@ -69,6 +70,12 @@
                         .help("Answers of servers to no statement in progress, by kind")
                         .labelNames("kind")
                         .register(registry);
+        this.keyRefusals =
+                Counter.builder()
+                        .name("ragwortmoor_key_refusals_total")
+                        .help("Callers and statements refused because of a key, by cause")
+                        .labelNames("cause")
+                        .register(registry);
         this.latency =
                 Histogram.builder()
                         .name("ragwortmoor_statement_seconds")
@@ -214,6 +221,11 @@
                 groups);
     }
 
+    @Override
+    public void keyRefused(String cause) {
+        keyRefusals.labelValues(cause).inc();
+    }
+
     @Override
     public void sessionEnded(String database, String reason) {
         if (tryAcquireLine()) {
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
@@ -14,6 +14,8 @@
 import java.util.function.Consumer;
 import org.ragwortmoor.coordination.session.DirectoryView;
 import org.ragwortmoor.coordination.session.Fleet;
+import org.ragwortmoor.coordination.session.LeaseAnswer;
+import org.ragwortmoor.coordination.session.PrimaryObservation;
 import org.ragwortmoor.coordination.session.ProxyIdentity;
 import org.ragwortmoor.coordination.session.SessionEngine;
 import org.ragwortmoor.protocol.DirectoryCodec;
@@ -71,8 +73,7 @@
     private long lastUpdateAt = System.nanoTime();
     private long lastReportAt = lastUpdateAt - REPORT_INTERVAL_NANOS;
     private final long incarnation = ThreadLocalRandom.current().nextLong();
-    private final java.util.Map<Long, SessionEngine.LeaseAnswer> unansweredReports =
-            new HashMap<>();
+    private final java.util.Map<Long, LeaseAnswer> unansweredReports = new HashMap<>();
 
     // An answer to a report of an earlier process of this proxy must not match one of this process.
     private long nextReportId = 1 + ThreadLocalRandom.current().nextLong(MAX_FIRST_REPORT_ID);
@@ -174,7 +175,7 @@
 
     private DirectoryMessage nextReport(long now) {
         long id = nextReportId++;
-        List<SessionEngine.PrimaryObservation> observations = engine.observations(id);
+        List<PrimaryObservation> observations = engine.observations(id);
         NodeReportMessage.Builder report =
                 NodeReportMessage.newBuilder()
                         .setProxy(self.name())
@@ -186,7 +187,7 @@
         if (identityNeeded || leader.isEmpty()) {
             report.setDomain(self.failureDomain()).setForwardingAddress(forwardingAddress);
         }
-        for (SessionEngine.PrimaryObservation observation : observations) {
+        for (PrimaryObservation observation : observations) {
             report.addPrimaries(
                     PrimaryObservationMessage.newBuilder()
                             .setGroup(observation.group())
@@ -201,15 +202,13 @@
         return DirectoryMessage.newBuilder().setReport(report).build();
     }
 
-    private void recordUnanswered(
-            long id, long now, List<SessionEngine.PrimaryObservation> observations) {
+    private void recordUnanswered(long id, long now, List<PrimaryObservation> observations) {
         java.util.Map<String, String> requested = new HashMap<>();
         observations.stream()
-                .filter(SessionEngine.PrimaryObservation::needsLease)
+                .filter(PrimaryObservation::needsLease)
                 .forEach(o -> requested.put(o.group(), o.server()));
         unansweredReports.put(
-                id,
-                new SessionEngine.LeaseAnswer(id, now, engine.clockOffsetMillis(), requested, 0));
+                id, new LeaseAnswer(id, now, engine.clockOffsetMillis(), requested, 0));
         unansweredReports.keySet().removeIf(old -> old <= id - MAX_UNANSWERED_REPORTS);
     }
 
@@ -257,11 +256,16 @@
         engine.setLeasesRequired(update.getLeaseMillis() > 0);
         mergedView(update).forEach(viewListener);
         applyLeases(update);
+        // The confirmation is for the routes of this update, which may not have been applied.
+        boolean sameRoutes = engine.view().routesRevision() == update.getRoutesRevision();
+        if (sameRoutes && update.getConfirmedReportId() != 0) {
+            engine.reportConfirmed(update.getConfirmedReportId());
+        }
     }
 
     private void applyLeases(DirectoryUpdateMessage update) {
         Set<String> withheld = Set.copyOf(update.getWithheldGroupsList());
-        SessionEngine.LeaseAnswer report = unansweredReports.remove(update.getReportId());
+        LeaseAnswer report = unansweredReports.remove(update.getReportId());
         // The leases are for the primaries of the directory's state at the time of the answer.
         boolean sameServers = engine.view().serversRevision() == update.getServersRevision();
         if (report == null || !sameServers) {
--- a/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
+++ b/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
@@ -52,6 +52,7 @@
         decisions.connectionLost("group", "server", "reason");
         decisions.serverAnswered("signed");
         decisions.answerMismatched("group", "server", "kind", "id", "message");
+        decisions.keyRefused("unknown");
         new TrafficMetrics(registry);
         new AnnouncementGate(registry, System::currentTimeMillis, System::nanoTime)
                 .recordUnreadable("server", "reason");
--- a/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
@@ -372,6 +372,9 @@
         @Override
         public void isolationChanged(boolean isolated, int silentLeaders, int groups) {}
 
+        @Override
+        public void keyRefused(String cause) {}
+
         @Override
         public void sessionEnded(String database, String reason) {}
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerAnswers.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerAnswers.java
@@ -37,14 +37,21 @@
      */
     static List<StatementMessage> error(
             String code, String reason, String transactionState, int retryAfterMillis) {
+        return List.of(
+                error(new Refusal(code, reason, retryAfterMillis)),
+                ready(transactionState, PositionField.NONE));
+    }
+
+    /** Returns the error of a refusal, without the message that ends an answer. */
+    static StatementMessage error(Refusal refusal) {
+        String code = refusal.code();
+        String reason = refusal.reason();
         boolean retryable =
                 code.equals(ErrorCode.OVERLOAD.name()) || code.equals(ErrorCode.BUSY.name());
-        String hint = "retry-after-ms=" + retryAfterMillis + " ";
+        String hint = "retry-after-ms=" + refusal.retryAfterMillis() + " ";
         int length = Math.min(reason.length(), SessionSettings.MAX_ERROR_TEXT_BYTES);
         String text = reason.substring(0, length);
-        return List.of(
-                StatementMessage.of(MessageKind.ERROR, code, retryable ? hint + text : text),
-                ready(transactionState, PositionField.NONE));
+        return StatementMessage.of(MessageKind.ERROR, code, retryable ? hint + text : text);
     }
 
     /** Returns the error for a statement in a failed transaction; none for a rollback. */
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerContext.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerContext.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import org.ragwortmoor.state.Position;
+import org.ragwortmoor.state.routes.Route;
 
 /** The state of a caller's session that the execution of its statements needs. */
 final class CallerContext implements StatementContext {
@@ -15,6 +16,23 @@
         this.session = session;
     }
 
+    /** Returns a new transaction, which has not sent anything to a server. */
+    CallerTransaction newTransaction(Route route, boolean readOnly) {
+        return new ForwardedTransaction(
+                this,
+                engine.streams(),
+                engine.group(route.group()),
+                route,
+                readOnly,
+                engine.host().now());
+    }
+
+    /** Returns the execution of a statement outside of a transaction. */
+    StatementExecution newExecution(RoutedStatement statement) {
+        return new ForwardedAutocommit(
+                this, engine.streams(), engine.group(statement.route().group()), statement);
+    }
+
     @Override
     public SessionHost host() {
         return engine.host();
--- a/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/CallerSession.java
@@ -20,7 +20,7 @@
     private final CallerContext context;
     private final Deque<StatementMessage> backlog = new ArrayDeque<>();
     private String database = "";
-    private String workspace = "";
+    private final CallerKey key;
     private CallerTransaction transaction;
     private StatementExecution autocommitStatement;
     private final IdleTransactionTimer idleTimer;
@@ -33,6 +33,7 @@
     CallerSession(SessionEngine engine, SessionHost.CallerLink link) {
         this.engine = engine;
         this.link = link;
+        this.key = new CallerKey(engine);
         this.context = new CallerContext(engine, this);
         this.idleTimer =
                 new IdleTransactionTimer(
@@ -92,7 +93,7 @@
     }
 
     /**
-     * Answers CONNECT once routes are known or the wait for them has timed out.
+     * Answers CONNECT once routes and keys are known or the wait for them has timed out.
      *
      * @param mayWait whether the answer may be left for a later call
      * @return whether CONNECT has been answered
@@ -110,6 +111,14 @@
             closeSession(unknown ? "no route" : "no routes are known");
             return true;
         }
+        if (mayWait && key.unconfirmed(route.get())) {
+            return false;
+        }
+        for (Refusal refusal : key.check(route, false, false)) {
+            link.send(List.of(CallerAnswers.error(refusal)));
+            closeSession(refusal.reason());
+            return true;
+        }
         handshakeDone = true;
         sendAnswer(List.of(CallerAnswers.ready(ExchangeResult.IDLE, PositionField.NONE)));
         return true;
@@ -121,7 +130,7 @@
 
     /** Returns the name of the caller's workspace; empty if it has none. */
     String workspace() {
-        return workspace;
+        return key.workspace();
     }
 
     /** Forgets the transaction, which has ended. */
@@ -137,6 +146,7 @@
         if (!handshakeDone) {
             if (message.kind() == MessageKind.CONNECT && !message.field(0).isEmpty()) {
                 database = message.field(0);
+                key.set(message.field(1));
                 busy = true;
                 engine.awaitRoutes(this);
             } else {
@@ -155,6 +165,9 @@
 
     private void query(String id, String text) {
         Either<String, Statement> parsed = CallerStatement.parse(id, text);
+        if (!keyPermits(id, parsed)) {
+            return;
+        }
         if (transaction != null && transaction.failed()) {
             handleInFailedTransaction(parsed);
             return;
@@ -180,6 +193,34 @@
         }
     }
 
+    /**
+     * Checks the key, which may have been withdrawn since CONNECT.
+     *
+     * @return false if the statement has been answered with a refusal
+     */
+    private boolean keyPermits(String id, Either<String, Statement> parsed) {
+        boolean rollback = parsed.exists(s -> s instanceof Statement.Rollback);
+        boolean inTransaction = transaction != null;
+        boolean runsNothing = rollback || (inTransaction && transaction.failed());
+        Option<Refusal> refusal = key.check(currentRoute(), inTransaction, runsNothing);
+        boolean endsTransaction = rollback || parsed.exists(s -> s instanceof Statement.Commit);
+        refusal.forEach(r -> refuse(id, endsTransaction, r, 0));
+        return refusal.isEmpty();
+    }
+
+    /** Returns the route of the database or, if there is none any more, of the transaction. */
+    private Option<Route> currentRoute() {
+        return engine.route(database)
+                .orElse(() -> Option.of(transaction).map(CallerTransaction::route));
+    }
+
+    /** Aborts an idle transaction whose key was withdrawn or has moved to another workspace. */
+    void keysChanged() {
+        if (transaction != null && key.changed(currentRoute())) {
+            abortIdleTransaction("the key was withdrawn or has moved to another workspace");
+        }
+    }
+
     private void handleInFailedTransaction(Either<String, Statement> parsed) {
         Option<String> errorCode =
                 parsed.isLeft()
@@ -203,14 +244,7 @@
         } else if (route.isEmpty()) {
             answerError(ErrorCode.NODB.name(), "no route has this name any more");
         } else {
-            transaction =
-                    new ForwardedTransaction(
-                            context,
-                            engine.streams(),
-                            engine.group(route.get().group()),
-                            route.get(),
-                            begin.readOnly(),
-                            engine.host().now());
+            transaction = context.newTransaction(route.get(), begin.readOnly());
             transactionAdmitted = false;
             answerLocally();
         }
@@ -253,10 +287,15 @@
         }
         operationStart.request(
                 engine.gate(),
-                workspace,
+                key.workspace(),
                 routed,
                 () -> start(routed),
-                (reason, retryAfterMillis) -> refuse(routed, reason, retryAfterMillis));
+                refusal ->
+                        refuse(
+                                id,
+                                statement instanceof Statement.Commit,
+                                refusal,
+                                engine.host().now() - routed.arrivedAt()));
     }
 
     /** Starts an operation: a statement outside of a transaction, or the first one inside. */
@@ -266,26 +305,20 @@
             transaction.execute(statement);
             return;
         }
-        autocommitStatement =
-                new ForwardedAutocommit(
-                        context,
-                        engine.streams(),
-                        engine.group(statement.route().group()),
-                        statement);
+        autocommitStatement = context.newExecution(statement);
         autocommitStatement.start();
     }
 
-    private void refuse(RoutedStatement statement, String reason, int retryAfterMillis) {
-        String code = ErrorCode.OVERLOAD.name();
-        long nanos = engine.host().now() - statement.arrivedAt();
-        context.logStatement(statement.id(), "", code, reason, Option.none(), 0, nanos);
+    /** Answers a statement that has not been sent to a server, and fails the transaction. */
+    private void refuse(String id, boolean endsTransaction, Refusal refusal, long nanos) {
+        context.logStatement(id, "", refusal.code(), refusal.reason(), Option.none(), 0, nanos);
         if (transaction != null) {
             transaction.abandon();
         }
-        if (statement.kind() == RoutedStatement.Kind.COMMIT) {
+        if (endsTransaction) {
             transaction = null;
         }
-        context.answerError(code, reason, retryAfterMillis);
+        context.answerError(refusal.code(), refusal.reason(), refusal.retryAfterMillis());
     }
 
     private void answerError(String code, String reason) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/DecisionLog.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/DecisionLog.java
@@ -81,6 +81,13 @@
     /** The proxy became isolated from the directory and most leaders, or is no longer isolated. */
     void isolationChanged(boolean isolated, int silentLeaders, int groups);
 
+    /**
+     * A caller was refused because of its key, at CONNECT or for a statement.
+     *
+     * @param cause {@code unknown} or {@code unconfirmed}
+     */
+    void keyRefused(String cause);
+
     /** The proxy closed a session, or aborted its transaction, without a request of the caller. */
     void sessionEnded(String database, String reason);
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/OperationStart.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/OperationStart.java
@@ -1,25 +1,22 @@
 package org.ragwortmoor.coordination.session;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.ragwortmoor.coordination.workspace.OperationGate;
+import org.ragwortmoor.state.statement.ErrorCode;
 
 /** Asks the operation gate whether the next operation of a session may start. */
 final class OperationStart {
     private Request current;
 
-    /** Receives a refusal; see {@link OperationGate.Listener#refused}. */
-    interface Refusal {
-        void refused(String reason, int retryAfterMillis);
-    }
-
     /** Requests a decision; one of the callbacks may be called before this method returns. */
     void request(
             OperationGate gate,
             String workspace,
             RoutedStatement statement,
             Runnable permitted,
-            Refusal refusal) {
-        Request request = new Request(permitted, refusal);
+            Consumer<Refusal> refused) {
+        Request request = new Request(permitted, refused);
         current = request;
         request.pending =
                 gate.request(
@@ -46,13 +43,13 @@
 
     private static final class Request implements OperationGate.Listener {
         private final Runnable permitted;
-        private final Refusal refusal;
+        private final Consumer<Refusal> refused;
         private OperationGate.Pending pending;
         private boolean decided;
 
-        Request(Runnable permitted, Refusal refusal) {
+        Request(Runnable permitted, Consumer<Refusal> refused) {
             this.permitted = permitted;
-            this.refusal = refusal;
+            this.refused = refused;
         }
 
         @Override
@@ -67,7 +64,7 @@
         public void refused(String reason, int retryAfterMillis) {
             if (!decided) {
                 decided = true;
-                refusal.refused(reason, retryAfterMillis);
+                refused.accept(new Refusal(ErrorCode.OVERLOAD.name(), reason, retryAfterMillis));
             }
         }
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.ragwortmoor.coordination.placement.ConnectionPlan;
 import org.ragwortmoor.coordination.placement.HolderRanking;
 import org.ragwortmoor.coordination.workspace.OperationGate;
@@ -26,6 +27,7 @@
     private final Map<String, ServerGroup> groups = new LinkedHashMap<>();
     private final Set<CallerSession> sessions = new LinkedHashSet<>();
     private final PendingHandshakes handshakes;
+    private final KeyCheck keys;
     private final Set<ForwardingSession> forwardingSessions = new LinkedHashSet<>();
     private final ForwardingStreams streams = new ForwardingStreams();
     private DirectoryView view = DirectoryView.EMPTY;
@@ -46,6 +48,7 @@
         this.self = self;
         this.log = log;
         this.handshakes = new PendingHandshakes(host);
+        this.keys = new KeyCheck(host);
     }
 
     /** Sets what decides whether operations of callers may start; any may by default. */
@@ -53,48 +56,6 @@
         gate = newGate;
     }
 
-    /**
-     * Observation of a group's primary by this proxy.
-     *
-     * @param silentNanos time since the oldest unanswered request; 0 if the primary answers
-     * @param refused whether the primary denies leadership or refuses connections
-     * @param holdsLease whether this proxy holds a lease on the primary
-     * @param needsLease whether this proxy requests a lease on the primary
-     */
-    public record PrimaryObservation(
-            String group,
-            String server,
-            long silentNanos,
-            boolean refused,
-            boolean holdsLease,
-            boolean needsLease) {}
-
-    /**
-     * The directory's answer to a report about leases.
-     *
-     * @param reportId number of the answered report
-     * @param reportedAt time at which it was sent, in nanoseconds of the monotonic clock
-     * @param clockOffsetMillis wall clock minus monotonic clock at that time
-     * @param requested server on which the report requested a lease, by group
-     * @param leaseNanos duration of the leases, counted from {@code reportedAt}
-     */
-    public record LeaseAnswer(
-            long reportId,
-            long reportedAt,
-            long clockOffsetMillis,
-            Map<String, String> requested,
-            long leaseNanos) {
-        /** Copies the map. */
-        public LeaseAnswer {
-            requested = Map.copyOf(requested);
-        }
-
-        /** Returns this answer with another duration of the leases. */
-        public LeaseAnswer withDuration(long nanos) {
-            return new LeaseAnswer(reportId, reportedAt, clockOffsetMillis, requested, nanos);
-        }
-    }
-
     /** Starts to execute the statements that another proxy forwards over a new link. */
     public ForwardingSession acceptForwarding(String from) {
         ForwardingSession session = new ForwardingSession(this, from);
@@ -126,10 +87,28 @@
                         newView.fleet());
         if (routesChanged) {
             routes = view.routes().byDatabase();
+            keys.setWorkspaces(view.routes().workspaces());
         }
         updateGroups();
         log.directoryApplied(
                 view.routes().version(), view.routesRevision(), view.serversRevision());
+        if (routesChanged) {
+            List.copyOf(sessions).forEach(CallerSession::keysChanged);
+        }
+        handshakes.retry();
+    }
+
+    /** Sets the time within which a removed key must be refused, in milliseconds; 0 for none. */
+    public void setKeyRevocationLimit(long millis) {
+        keys.authority().setLimit(millis);
+    }
+
+    /**
+     * Records that the directory has confirmed a report; to be called once the revision of the
+     * routes that the confirmation names has been applied.
+     */
+    public void reportConfirmed(long reportId) {
+        keys.authority().reportConfirmed(reportId);
         handshakes.retry();
     }
 
@@ -179,9 +158,11 @@
      * Returns observations of the primaries for the failure detection of the control group, and
      * gives up the leases on primaries that do not answer.
      *
-     * @param reportId number of the report that contains the observations; increases
+     * @param reportId number of the report that contains the observations and is sent at once;
+     *     increases
      */
     public List<PrimaryObservation> observations(long reportId) {
+        keys.authority().reportSent(reportId, host.now(), clockOffsetMillis());
         List<PrimaryObservation> found = new ArrayList<>();
         for (ServerGroup group : groups.values()) {
             Server server = group.leader().server();
@@ -200,8 +181,11 @@
         return found;
     }
 
-    /** Returns whether a primary needs attention that should not wait for the next report. */
+    /** Returns whether a primary, or the check of keys, should not wait for the next report. */
     public boolean reportUrgent(long silenceNanos) {
+        if (keys.needsConfirmation()) {
+            return true;
+        }
         return groups.values().stream()
                 .filter(group -> group.active() && group.leader().server() != null)
                 .anyMatch(
@@ -290,9 +274,12 @@
         return view;
     }
 
-    /** Returns one line per group, for the state dump. */
+    /** Returns one line per group, and one about the keys if any, for the state dump. */
     public List<String> describe() {
-        return groups.values().stream().map(ServerGroup::describe).toList();
+        return Stream.concat(
+                        keys.describe().toJavaStream(),
+                        groups.values().stream().map(ServerGroup::describe))
+                .toList();
     }
 
     /** Returns the number of sessions. */
@@ -347,6 +334,10 @@
         return gate;
     }
 
+    KeyCheck keys() {
+        return keys;
+    }
+
     DecisionLog log() {
         return log;
     }
--- a/core/src/main/java/org/ragwortmoor/state/statement/ErrorCode.java
+++ b/core/src/main/java/org/ragwortmoor/state/statement/ErrorCode.java
@@ -18,6 +18,8 @@
     UNKNOWN,
     /** Not run: there is no route for the database. */
     NODB,
+    /** Not run: the caller's key belongs to no workspace. */
+    UNAUTH,
     /** Not run: the message is invalid in the current state of the session. */
     MALFORMED,
     /** Executed and failed. */
--- a/core/src/test/java/org/ragwortmoor/coordination/session/Caller.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/Caller.java
@@ -16,10 +16,14 @@
     private int ids;
 
     Caller(SimulatedHost host, SessionEngine engine, String database) {
+        this(host, engine, database, "caller");
+    }
+
+    Caller(SimulatedHost host, SessionEngine engine, String database, String key) {
         this.host = host;
         number = host.nextNumber();
         session = engine.accept(this);
-        session.received(StatementMessage.of(MessageKind.CONNECT, database, "caller"));
+        session.received(StatementMessage.of(MessageKind.CONNECT, database, key));
     }
 
     CallerSession session() {
--- a/core/src/test/java/org/ragwortmoor/coordination/session/LeaseDirectory.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/LeaseDirectory.java
@@ -82,7 +82,7 @@
             long id = ++reportId;
             List<PrimaryLeaseTable.LeaseStatement> statements = new ArrayList<>();
             Map<String, String> requested = new HashMap<>();
-            for (SessionEngine.PrimaryObservation seen : engine.observations(id)) {
+            for (PrimaryObservation seen : engine.observations(id)) {
                 statements.add(
                         new PrimaryLeaseTable.LeaseStatement(
                                 seen.group(), seen.holdsLease(), seen.needsLease()));
@@ -90,8 +90,8 @@
                     requested.put(seen.group(), seen.server());
                 }
             }
-            SessionEngine.LeaseAnswer answer =
-                    new SessionEngine.LeaseAnswer(
+            LeaseAnswer answer =
+                    new LeaseAnswer(
                             id,
                             host.now(),
                             engine.clockOffsetMillis(),
@@ -101,9 +101,7 @@
         }
 
         private void arrive(
-                long id,
-                List<PrimaryLeaseTable.LeaseStatement> statements,
-                SessionEngine.LeaseAnswer answer) {
+                long id, List<PrimaryLeaseTable.LeaseStatement> statements, LeaseAnswer answer) {
             if (!connected.getAsBoolean()) {
                 return;
             }
--- a/core/src/test/java/org/ragwortmoor/coordination/session/NoOpDecisionLog.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/NoOpDecisionLog.java
@@ -55,6 +55,9 @@
     @Override
     public void isolationChanged(boolean isolated, int silentLeaders, int groups) {}
 
+    @Override
+    public void keyRefused(String cause) {}
+
     @Override
     public void sessionEnded(String database, String reason) {}
 }
--- a/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/SessionFaultTest.java
@@ -159,7 +159,7 @@
     void silenceOfThePrimaryIsReported() {
         deployment.s1.setUnresponsive(true);
         deployment.host.advance(1_200);
-        SessionEngine.PrimaryObservation seen = deployment.engine.observations(1).get(0);
+        PrimaryObservation seen = deployment.engine.observations(1).get(0);
         assertThat(seen.server()).isEqualTo("s1");
         assertThat(seen.silentNanos()).isGreaterThan(500_000_000L);
     }
