Confirm the reports of proxies after contact to a majority

Cause: a proxy cannot tell a leader from one that was deposed, so an answer alone does not prove that no key was withdrawn before the report.

Change: an update names the newest report of the proxy's process that arrived no later than the last time for which a majority has answered the leader, if workspaces are configured; pushed updates do too. DirectoryLog and DirectoryNode expose that time while the process leads. Without workspaces the updates are the same as before.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryLog.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryLog.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -183,6 +184,14 @@
         return running && log.leaderReady(now);
     }
 
+    /**
+     * Returns the latest time for which a majority has answered messages that this process sent as
+     * leader at or after it; none if it does not lead, see {@link #leads}.
+     */
+    Option<Long> quorumContactAt() {
+        return leads() ? log.node().quorumContactAt() : Option.none();
+    }
+
     /** Passes an event to the log and performs the resulting actions. */
     void handle(ConsensusEvent event) {
         perform(log.handle(event, System.nanoTime()));
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -154,6 +154,11 @@
         return log != null && log.leads();
     }
 
+    /** See {@link DirectoryLog#quorumContactAt}. */
+    Option<Long> quorumContactAt() {
+        return log == null ? Option.none() : log.quorumContactAt();
+    }
+
     /** Returns the term of the control group that this process knows; 0 if it has no log. */
     long term() {
         return log == null ? 0 : log.log().node().term();
--- a/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
+++ b/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
@@ -38,7 +38,7 @@
         PrimaryLeaseTable leases =
                 new PrimaryLeaseTable(
                         settings.platformFencing() ? 0 : settings.primaryLeaseMillis());
-        this.proxies = new ProxyRegistry(leases);
+        this.proxies = new ProxyRegistry(leases, node::quorumContactAt);
         this.promotionExecutor =
                 new PromotionExecutor(
                         settings.controlAddress().toString(),
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyRegistry.java
@@ -10,7 +10,9 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
+import org.ragwortmoor.coordination.workspace.ReportConfirmation;
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
 import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
@@ -40,6 +42,7 @@
     private static final long HASH_FACTOR = 0x100000001b3L;
 
     private final PrimaryLeaseTable leases;
+    private final Supplier<Option<Long>> quorumContact;
     private final UpdateContents contents = new UpdateContents();
     private final Map<String, ProxyEntry> proxies = new HashMap<>();
     private final Map<String, ProxyEntry> earlyReports = new HashMap<>();
@@ -68,6 +71,7 @@
     private static final long PUSH_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
     private static final class ProxyEntry {
+        final ReportConfirmation confirmation = new ReportConfirmation();
         NodeReportMessage report;
         PeerListener.Reply reply;
         String domain = "";
@@ -78,8 +82,14 @@
         long reportedAt;
     }
 
-    ProxyRegistry(PrimaryLeaseTable leases) {
+    /**
+     * Creates a registry without proxies.
+     *
+     * @param quorumContact see {@link DirectoryLog#quorumContactAt}
+     */
+    ProxyRegistry(PrimaryLeaseTable leases, Supplier<Option<Long>> quorumContact) {
         this.leases = leases;
+        this.quorumContact = quorumContact;
     }
 
     /** Restarts counting after an election and answers the proxies that reported early. */
@@ -147,6 +157,7 @@
         entry.routesRevision = report.getRoutesRevision();
         entry.serversRevision = report.getServersRevision();
         entry.reportedAt = now;
+        entry.confirmation.recordArrival(report.getIncarnation(), report.getId(), now);
         if (!report.getForwardingAddress().isEmpty()) {
             entry.domain = report.getDomain();
             entry.address = report.getForwardingAddress();
@@ -259,6 +270,12 @@
             update.addAllMembers(members);
             entry.membersSent = members;
         }
+        if (state.routes().workspaces().isDefined()) {
+            quorumContact
+                    .get()
+                    .map(entry.confirmation::newestConfirmed)
+                    .forEach(update::setConfirmedReportId);
+        }
         addNeighbours(entry, update, state.fleet(), now);
         if (entry.report.getRelayed()) {
             update.setDestination(entry.report.getProxy());
--- a/app/src/test/java/org/ragwortmoor/directory/ProxyRegistryTest.java
+++ b/app/src/test/java/org/ragwortmoor/directory/ProxyRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +16,8 @@
 import org.ragwortmoor.state.directory.DirectoryCommand;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.directory.FleetSize;
+import org.ragwortmoor.state.routes.RouteTable;
+import org.ragwortmoor.state.workspace.Workspace;
 
 /**
  * Guards against counts and lists of proxies that follow a transient state: right after an
@@ -23,7 +26,9 @@
 class ProxyRegistryTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final ProxyRegistry registry = new ProxyRegistry(new PrimaryLeaseTable(0));
+    private Option<Long> contactAt = Option.none();
+    private final ProxyRegistry registry =
+            new ProxyRegistry(new PrimaryLeaseTable(0), () -> contactAt);
     private DirectoryState fleet = DirectoryState.EMPTY;
     private long now = SECOND;
 
@@ -154,6 +159,54 @@
         assertThat(names(answer("p3", "a", 0))).containsExactly("p3");
     }
 
+    private DirectoryUpdateMessage answer(long incarnation, long id, long at) {
+        List<PeerBody> sent = new ArrayList<>();
+        registry.answerReport(
+                NodeReportMessage.newBuilder()
+                        .setProxy("p1")
+                        .setIncarnation(incarnation)
+                        .setId(id)
+                        .build(),
+                sent::add,
+                fleet,
+                List.of(),
+                at);
+        PeerBody.Directory body = (PeerBody.Directory) sent.get(0);
+        return DirectoryCodec.decodeMessage(body.message()).get().getUpdate();
+    }
+
+    private void setWorkspaces(Option<List<Workspace>> workspaces, long version) {
+        fleet =
+                fleet.apply(
+                        new DirectoryCommand.PutRoutes(
+                                new RouteTable(version, List.of(), List.of(), 0, workspaces, "")),
+                        version);
+    }
+
+    /** A confirmation without contact to a majority would let a deposed leader keep keys alive. */
+    @Test
+    void onlyReportsBeforeTheLastContactToAMajorityAreConfirmed() {
+        setWorkspaces(Option.some(List.of()), 1);
+        registry.elected(fleet, List.of(), now);
+        assertThat(answer(7, 21, 2 * SECOND).getConfirmedReportId()).isZero();
+        contactAt = Option.some(2 * SECOND + 1);
+        assertThat(answer(7, 22, 3 * SECOND).getConfirmedReportId()).isEqualTo(21);
+        assertThat(answer(7, 23, 4 * SECOND).getConfirmedReportId()).isEqualTo(21);
+        assertThat(answer(8, 5, 5 * SECOND).getConfirmedReportId()).isZero();
+        contactAt = Option.none();
+        assertThat(answer(8, 6, 6 * SECOND).getConfirmedReportId()).isZero();
+        contactAt = Option.some(6 * SECOND);
+        registry.elected(fleet, List.of(), 7 * SECOND);
+        assertThat(answer(8, 7, 7 * SECOND).getConfirmedReportId()).isZero();
+    }
+
+    @Test
+    void withoutWorkspacesNothingIsConfirmed() {
+        setWorkspaces(Option.none(), 1);
+        contactAt = Option.some(9 * SECOND);
+        assertThat(answer(7, 21, 2 * SECOND).getConfirmedReportId()).isZero();
+    }
+
     @Test
     void unchangedNeighboursAreNotRepeated() {
         setFleet(1);
