Add the setting key-revocation-limit

Cause: only strict deployments limit the time for which a withdrawn key may be used.

The review stand-ins, whose deployments are not strict, leave sections of the template out.

--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -84,6 +84,7 @@
                         new NodeSessionHost(new StatementClient(loops, host)),
                         self,
                         new DecisionLogger(registry, System::nanoTime));
+        engine.setKeyRevocationLimit(settings.keyRevocationMillis());
         forwarding =
                 new ForwardingServer(
                         loops,
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -17,6 +17,8 @@
  * @param peerPort port for other processes; the same on all VMs
  * @param seeds control addresses of some directory processes
  * @param stopMillis time from the start of a planned stop until the process is killed
+ * @param keyRevocationMillis time within which a removed key must be refused; 0 if it is not
+ *     limited
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
  */
 public record StatementProxySettings(
@@ -27,6 +29,7 @@
         int peerPort,
         List<String> seeds,
         long stopMillis,
+        long keyRevocationMillis,
         String metricsAddress) {
     private static final Setting<String> NAME =
             Setting.required("name", ValueTypes.NAME, "Identifies the proxy in reports.");
@@ -44,6 +47,15 @@
                     "6",
                     "The platform kills a process that has not ended by then.");
 
+    private static final Setting<Long> KEY_REVOCATION =
+            Setting.of(
+                    "key-revocation-limit",
+                    ValueTypes.number(0, 600_000),
+                    "ms",
+                    "0",
+                    "A removed key is refused within this time also without the directory; 0: no"
+                            + " limit.");
+
     /** The role of statement proxies. */
     public static final Role<StatementProxySettings> ROLE =
             new Role<>(
@@ -57,6 +69,7 @@
                             DirectorySettings.PEER_PORT,
                             DirectorySettings.SEED_ADDRESSES,
                             STOP,
+                            KEY_REVOCATION,
                             DirectorySettings.METRICS),
                     StatementProxySettings::of,
                     settings -> List.of());
@@ -89,6 +102,7 @@
                 values.number(DirectorySettings.PEER_PORT),
                 values.value(DirectorySettings.SEED_ADDRESSES),
                 values.value(STOP) * 1_000,
+                values.value(KEY_REVOCATION),
                 values.value(DirectorySettings.METRICS));
     }
 }
--- a/review/standins/Standins.java
+++ b/review/standins/Standins.java
@@ -139,7 +139,10 @@
     /** Fills in a template of the deploy file, and starts the command of the role. */
     private void start(String role, String name, String template, Map<String, String> fields)
             throws IOException {
-        String settings = Files.readString(root.resolve(template));
+        // The bounds that open a section are not set in these deployments.
+        String settings =
+                Files.readString(root.resolve(template))
+                        .replaceAll("(?s)\\{\\{#([^}]+)\\}\\}\n.*?\\{\\{/\\1\\}\\}\n", "");
         for (Map.Entry<String, String> field : fields.entrySet()) {
             settings = settings.replace("{{" + field.getKey() + "}}", field.getValue());
         }
