--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.ragwortmoor.coordination.placement.ConnectionPlan;
 import org.ragwortmoor.coordination.placement.HolderRanking;
+import org.ragwortmoor.coordination.workspace.OperationGate;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.routes.GroupLimits;
 import org.ragwortmoor.state.routes.Route;
@@ -24,12 +26,14 @@
     private final PreparedStatementNames statementNames = new PreparedStatementNames();
     private final Map<String, ServerGroup> groups = new LinkedHashMap<>();
     private final Set<CallerSession> sessions = new LinkedHashSet<>();
-    private final Set<CallerSession> awaitingRoutes = new LinkedHashSet<>();
+    private final PendingHandshakes handshakes;
+    private final KeyCheck keys;
     private final Set<ForwardingSession> forwardingSessions = new LinkedHashSet<>();
     private final ForwardingStreams streams = new ForwardingStreams();
     private DirectoryView view = DirectoryView.EMPTY;
     private Map<String, Route> routes = Map.of();
     private Option<Set<String>> workspaces = Option.none();
+    private OperationGate gate = OperationGate.OPEN;
     private boolean leasesRequired = true;
     private boolean stopping;
     private boolean isolated;
@@ -44,48 +48,13 @@
         this.host = host;
         this.self = self;
         this.log = log;
+        this.handshakes = new PendingHandshakes(host);
+        this.keys = new KeyCheck(host);
     }
 
-    /**
-     * Observation of a group's primary by this proxy.
-     *
-     * @param silentNanos time since the oldest unanswered request; 0 if the primary answers
-     * @param refused whether the primary denies leadership or refuses connections
-     * @param holdsLease whether this proxy holds a lease on the primary
-     * @param needsLease whether this proxy requests a lease on the primary
-     */
-    public record PrimaryObservation(
-            String group,
-            String server,
-            long silentNanos,
-            boolean refused,
-            boolean holdsLease,
-            boolean needsLease) {}
-
-    /**
-     * The directory's answer to a report about leases.
-     *
-     * @param reportId number of the answered report
-     * @param reportedAt time at which it was sent, in nanoseconds of the monotonic clock
-     * @param clockOffsetMillis wall clock minus monotonic clock at that time
-     * @param requested server on which the report requested a lease, by group
-     * @param leaseNanos duration of the leases, counted from {@code reportedAt}
-     */
-    public record LeaseAnswer(
-            long reportId,
-            long reportedAt,
-            long clockOffsetMillis,
-            Map<String, String> requested,
-            long leaseNanos) {
-        /** Copies the map. */
-        public LeaseAnswer {
-            requested = Map.copyOf(requested);
-        }
-
-        /** Returns this answer with another duration of the leases. */
-        public LeaseAnswer withDuration(long nanos) {
-            return new LeaseAnswer(reportId, reportedAt, clockOffsetMillis, requested, nanos);
-        }
+    /** Sets what decides whether operations of callers may start; any may by default. */
+    public void setOperationGate(OperationGate newGate) {
+        gate = newGate;
     }
 
     /** Starts to execute the statements that another proxy forwards over a new link. */
@@ -120,14 +89,29 @@
         if (routesChanged) {
             routes = view.routes().byDatabase();
             workspaces = view.routes().workspaceNames();
+            keys.setWorkspaces(view.routes().workspaces());
         }
         updateGroups();
         log.directoryApplied(
                 view.routes().version(), view.routesRevision(), view.serversRevision());
-        for (CallerSession session : List.copyOf(awaitingRoutes)) {
-            awaitingRoutes.remove(session);
-            session.completeHandshake();
+        if (routesChanged) {
+            List.copyOf(sessions).forEach(CallerSession::keysChanged);
         }
+        handshakes.retry();
+    }
+
+    /** Sets the time within which a removed key must be refused, in milliseconds; 0 for none. */
+    public void setKeyRevocationLimit(long millis) {
+        keys.authority().setLimit(millis);
+    }
+
+    /**
+     * Records that the directory has confirmed a report; to be called once the revision of the
+     * routes that the confirmation names has been applied.
+     */
+    public void reportConfirmed(long reportId) {
+        keys.authority().reportConfirmed(reportId);
+        handshakes.retry();
     }
 
     private void updateGroups() {
@@ -172,9 +156,11 @@
      * Returns observations of the primaries for the failure detection of the control group, and
      * gives up the leases on primaries that do not answer.
      *
-     * @param reportId number of the report that contains the observations; increases
+     * @param reportId number of the report that contains the observations and is sent at once;
+     *     increases
      */
     public List<PrimaryObservation> observations(long reportId) {
+        keys.authority().reportSent(reportId, host.now(), clockOffsetMillis());
         List<PrimaryObservation> found = new ArrayList<>();
         for (ServerGroup group : groups.values()) {
             Server server = group.leader().server();
@@ -193,8 +179,11 @@
         return found;
     }
 
-    /** Returns whether a primary needs attention that should not wait for the next report. */
+    /** Returns whether a primary, or the check of keys, should not wait for the next report. */
     public boolean reportUrgent(long silenceNanos) {
+        if (keys.needsConfirmation()) {
+            return true;
+        }
         return groups.values().stream()
                 .filter(group -> group.active() && group.leader().server() != null)
                 .anyMatch(
@@ -283,9 +272,12 @@
         return view;
     }
 
-    /** Returns one line per group, for the state dump. */
+    /** Returns one line per group, and one about the keys if any, for the state dump. */
     public List<String> describe() {
-        return groups.values().stream().map(ServerGroup::describe).toList();
+        return Stream.concat(
+                        keys.describe().toJavaStream(),
+                        groups.values().stream().map(ServerGroup::describe))
+                .toList();
     }
 
     /** Returns the number of sessions. */
@@ -336,6 +328,14 @@
         forwardingSessions.remove(session);
     }
 
+    OperationGate gate() {
+        return gate;
+    }
+
+    KeyCheck keys() {
+        return keys;
+    }
+
     DecisionLog log() {
         return log;
     }
@@ -367,18 +367,9 @@
 
     /** Completes the handshake of a session, immediately or when the first routes arrive. */
     void awaitRoutes(CallerSession session) {
-        if (hasRoutes()) {
-            session.completeHandshake();
-            return;
+        if (!hasRoutes() || !session.completeHandshake(true)) {
+            handshakes.add(session);
         }
-        awaitingRoutes.add(session);
-        host.schedule(
-                host.now() + SessionSettings.ROUTES_TIMEOUT_NANOS,
-                () -> {
-                    if (awaitingRoutes.remove(session)) {
-                        session.completeHandshake();
-                    }
-                });
     }
 
     void sessionIdle(CallerSession session) {
@@ -389,6 +380,6 @@
 
     void sessionClosed(CallerSession session) {
         sessions.remove(session);
-        awaitingRoutes.remove(session);
+        handshakes.remove(session);
     }
 }
