--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusEvent.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusEvent.java
@@ -40,6 +40,12 @@
      */
     record SnapshotTaken(long index, ByteString data) implements ConsensusEvent {}
 
+    /**
+     * Contacts all members without waiting for the next heartbeat, so that {@link
+     * ConsensusNode#quorumContactAt} advances; has no effect on a node that does not lead.
+     */
+    record ConfirmLeadership() implements ConsensusEvent {}
+
     /** A planned stop: a leader transfers leadership to the most up-to-date responsive voter. */
     record TransferLeadership() implements ConsensusEvent {}
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/consensus/ConsensusNode.java
@@ -82,6 +82,8 @@
             onSynced(synced.through());
         } else if (event instanceof ConsensusEvent.SnapshotTaken taken) {
             state.snapshotTaken(taken.index(), taken.data());
+        } else if (event instanceof ConsensusEvent.ConfirmLeadership) {
+            leadership.forEach(Leadership::heartbeat);
         } else if (event instanceof ConsensusEvent.TransferLeadership) {
             leadership.forEach(Leadership::startTransfer);
         } else if (event instanceof ConsensusEvent.StorageFailed failed) {
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/Directory.java
@@ -228,7 +228,7 @@
       "\"\214\001\n\031PrimaryObservationMessage\022\r\n\005group\030" +
       "\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\025\n\rsilent_millis\030\003" +
       " \001(\r\022\017\n\007refused\030\004 \001(\010\022\023\n\013holds_lease\030\005 \001" +
-      "(\010\022\023\n\013needs_lease\030\006 \001(\010\"\365\002\n\021NodeReportMe" +
+      "(\010\022\023\n\013needs_lease\030\006 \001(\010\"\263\003\n\021NodeReportMe" +
       "ssage\022\r\n\005proxy\030\001 \001(\t\022\027\n\017routes_revision\030" +
       "\002 \001(\004\022\030\n\020servers_revision\030\003 \001(\004\022C\n\tprima" +
       "ries\030\004 \003(\01320.ragwortmoor.directory.Prima" +
@@ -237,63 +237,67 @@
       "ing_address\030\010 \001(\t\022\027\n\017neighbours_hash\030\t \001" +
       "(\006\022\020\n\010stopping\030\n \001(\010\022\017\n\007relayed\030\013 \001(\010\022\023\n" +
       "\013quota_epoch\030\014 \001(\004\022;\n\005usage\030\r \003(\0132,.ragw" +
-      "ortmoor.directory.WorkspaceUsageMessage\"" +
-      "\237\001\n\025WorkspaceUsageMessage\022\021\n\tworkspace\030\001" +
-      " \001(\t\022\022\n\nused_total\030\002 \001(\004\022\026\n\016returned_tot" +
-      "al\030\003 \001(\004\022\021\n\tavailable\030\004 \001(\r\022\023\n\013recent_us" +
-      "ed\030\005 \001(\r\022\017\n\007waiting\030\006 \001(\r\022\016\n\006wanted\030\007 \001(" +
-      "\r\"Y\n\021QuotaGrantMessage\022\021\n\tworkspace\030\001 \001(" +
-      "\t\022\025\n\rgranted_total\030\002 \001(\004\022\032\n\022retry_after_" +
-      "millis\030\003 \001(\r\"\335\002\n\027RouteTableChangeMessage" +
-      "\022\025\n\rbase_revision\030\001 \001(\004\022\017\n\007version\030\002 \001(\004" +
-      "\022\017\n\007removed\030\003 \003(\t\0224\n\007changed\030\004 \003(\0132#.rag" +
-      "wortmoor.directory.RouteMessage\0229\n\006group" +
-      "s\030\005 \003(\0132).ragwortmoor.directory.GroupLim" +
-      "itsMessage\022\037\n\027idle_transaction_millis\030\006 " +
-      "\001(\r\022\026\n\016has_workspaces\030\007 \001(\010\022\032\n\022removed_w" +
-      "orkspaces\030\010 \003(\t\022C\n\022changed_workspaces\030\t " +
-      "\003(\0132\'.ragwortmoor.directory.WorkspaceMes" +
-      "sage\"1\n\020NeighbourMessage\022\014\n\004name\030\001 \001(\t\022\017" +
-      "\n\007address\030\002 \001(\t\"\344\005\n\026DirectoryUpdateMessa" +
-      "ge\022\016\n\006leader\030\001 \001(\010\022\017\n\007members\030\002 \003(\t\022\017\n\007p" +
-      "roxies\030\003 \001(\r\022\027\n\017routes_revision\030\004 \001(\004\0228\n" +
-      "\006routes\030\005 \001(\0132(.ragwortmoor.directory.Ro" +
-      "uteTableMessage\022\030\n\020servers_revision\030\006 \001(" +
-      "\004\022\023\n\013has_servers\030\007 \001(\010\0225\n\007servers\030\010 \003(\0132" +
-      "$.ragwortmoor.directory.ServerMessage\022\021\n" +
-      "\treport_id\030\t \001(\004\022\024\n\014lease_millis\030\n \001(\r\022\027" +
-      "\n\017withheld_groups\030\013 \003(\t\022\017\n\007domains\030\014 \001(\r" +
-      "\022\027\n\017neighbours_hash\030\r \001(\006\022;\n\nneighbours\030" +
-      "\016 \003(\0132\'.ragwortmoor.directory.NeighbourM" +
-      "essage\022\026\n\016needs_identity\030\017 \001(\010\022E\n\rroutes" +
-      "_change\030\020 \001(\0132..ragwortmoor.directory.Ro" +
-      "uteTableChangeMessage\022\023\n\013destination\030\022 \001" +
-      "(\t\0227\n\006relays\030\023 \003(\0132\'.ragwortmoor.directo" +
-      "ry.NeighbourMessage\022\035\n\025servers_base_revi" +
-      "sion\030\021 \001(\004\022\033\n\023confirmed_report_id\030\024 \001(\004\022" +
-      "\023\n\013quota_epoch\030\025 \001(\004\0228\n\006grants\030\026 \003(\0132(.r" +
-      "agwortmoor.directory.QuotaGrantMessage\"A" +
-      "\n\013JoinMessage\022\014\n\004node\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\006\022\017\n\007address\030\003 \001(\t\"\321\001\n\027ForwardedR" +
-      "equestMessage\022\n\n\002id\030\001 \001(\004\022>\n\nput_routes\030" +
-      "\002 \001(\0132(.ragwortmoor.directory.RouteTable" +
-      "MessageH\000\022H\n\014announcement\030\003 \001(\01320.ragwor" +
-      "tmoor.directory.ServerAnnouncementMessag" +
-      "eH\000\022\025\n\013read_routes\030\004 \001(\010H\000B\t\n\007request\"c\n" +
-      "\031ServerAnnouncementMessage\0224\n\006server\030\001 \001" +
-      "(\0132$.ragwortmoor.directory.ServerMessage" +
-      "\022\020\n\010sequence\030\002 \001(\004\"E\n\026ForwardedAnswerMes" +
-      "sage\022\n\n\002id\030\001 \001(\004\022\017\n\007outcome\030\002 \001(\t\022\016\n\006sou" +
-      "rce\030\003 \001(\t\"\317\002\n\020DirectoryMessage\022:\n\006report" +
-      "\030\001 \001(\0132(.ragwortmoor.directory.NodeRepor" +
-      "tMessageH\000\022?\n\006update\030\002 \001(\0132-.ragwortmoor" +
-      ".directory.DirectoryUpdateMessageH\000\0222\n\004j" +
-      "oin\030\003 \001(\0132\".ragwortmoor.directory.JoinMe" +
-      "ssageH\000\022A\n\007request\030\004 \001(\0132..ragwortmoor.d" +
-      "irectory.ForwardedRequestMessageH\000\022?\n\006an" +
-      "swer\030\005 \001(\0132-.ragwortmoor.directory.Forwa" +
-      "rdedAnswerMessageH\000B\006\n\004bodyB!\n\035org.ragwo" +
-      "rtmoor.protocol.wireP\001b\006proto3"
+      "ortmoor.directory.WorkspaceUsageMessage\022" +
+      "<\n\016quota_standing\030\016 \001(\0162$.ragwortmoor.di" +
+      "rectory.QuotaStanding\"\237\001\n\025WorkspaceUsage" +
+      "Message\022\021\n\tworkspace\030\001 \001(\t\022\022\n\nused_total" +
+      "\030\002 \001(\004\022\026\n\016returned_total\030\003 \001(\004\022\021\n\tavaila" +
+      "ble\030\004 \001(\r\022\023\n\013recent_used\030\005 \001(\r\022\017\n\007waitin" +
+      "g\030\006 \001(\r\022\016\n\006wanted\030\007 \001(\r\"Y\n\021QuotaGrantMes" +
+      "sage\022\021\n\tworkspace\030\001 \001(\t\022\025\n\rgranted_total" +
+      "\030\002 \001(\004\022\032\n\022retry_after_millis\030\003 \001(\r\"\335\002\n\027R" +
+      "outeTableChangeMessage\022\025\n\rbase_revision\030" +
+      "\001 \001(\004\022\017\n\007version\030\002 \001(\004\022\017\n\007removed\030\003 \003(\t\022" +
+      "4\n\007changed\030\004 \003(\0132#.ragwortmoor.directory" +
+      ".RouteMessage\0229\n\006groups\030\005 \003(\0132).ragwortm" +
+      "oor.directory.GroupLimitsMessage\022\037\n\027idle" +
+      "_transaction_millis\030\006 \001(\r\022\026\n\016has_workspa" +
+      "ces\030\007 \001(\010\022\032\n\022removed_workspaces\030\010 \003(\t\022C\n" +
+      "\022changed_workspaces\030\t \003(\0132\'.ragwortmoor." +
+      "directory.WorkspaceMessage\"1\n\020NeighbourM" +
+      "essage\022\014\n\004name\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\"\344\005" +
+      "\n\026DirectoryUpdateMessage\022\016\n\006leader\030\001 \001(\010" +
+      "\022\017\n\007members\030\002 \003(\t\022\017\n\007proxies\030\003 \001(\r\022\027\n\017ro" +
+      "utes_revision\030\004 \001(\004\0228\n\006routes\030\005 \001(\0132(.ra" +
+      "gwortmoor.directory.RouteTableMessage\022\030\n" +
+      "\020servers_revision\030\006 \001(\004\022\023\n\013has_servers\030\007" +
+      " \001(\010\0225\n\007servers\030\010 \003(\0132$.ragwortmoor.dire" +
+      "ctory.ServerMessage\022\021\n\treport_id\030\t \001(\004\022\024" +
+      "\n\014lease_millis\030\n \001(\r\022\027\n\017withheld_groups\030" +
+      "\013 \003(\t\022\017\n\007domains\030\014 \001(\r\022\027\n\017neighbours_has" +
+      "h\030\r \001(\006\022;\n\nneighbours\030\016 \003(\0132\'.ragwortmoo" +
+      "r.directory.NeighbourMessage\022\026\n\016needs_id" +
+      "entity\030\017 \001(\010\022E\n\rroutes_change\030\020 \001(\0132..ra" +
+      "gwortmoor.directory.RouteTableChangeMess" +
+      "age\022\023\n\013destination\030\022 \001(\t\0227\n\006relays\030\023 \003(\013" +
+      "2\'.ragwortmoor.directory.NeighbourMessag" +
+      "e\022\035\n\025servers_base_revision\030\021 \001(\004\022\033\n\023conf" +
+      "irmed_report_id\030\024 \001(\004\022\023\n\013quota_epoch\030\025 \001" +
+      "(\004\0228\n\006grants\030\026 \003(\0132(.ragwortmoor.directo" +
+      "ry.QuotaGrantMessage\"A\n\013JoinMessage\022\014\n\004n" +
+      "ode\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\006\022\017\n\007addres" +
+      "s\030\003 \001(\t\"\321\001\n\027ForwardedRequestMessage\022\n\n\002i" +
+      "d\030\001 \001(\004\022>\n\nput_routes\030\002 \001(\0132(.ragwortmoo" +
+      "r.directory.RouteTableMessageH\000\022H\n\014annou" +
+      "ncement\030\003 \001(\01320.ragwortmoor.directory.Se" +
+      "rverAnnouncementMessageH\000\022\025\n\013read_routes" +
+      "\030\004 \001(\010H\000B\t\n\007request\"c\n\031ServerAnnouncemen" +
+      "tMessage\0224\n\006server\030\001 \001(\0132$.ragwortmoor.d" +
+      "irectory.ServerMessage\022\020\n\010sequence\030\002 \001(\004" +
+      "\"E\n\026ForwardedAnswerMessage\022\n\n\002id\030\001 \001(\004\022\017" +
+      "\n\007outcome\030\002 \001(\t\022\016\n\006source\030\003 \001(\t\"\317\002\n\020Dire" +
+      "ctoryMessage\022:\n\006report\030\001 \001(\0132(.ragwortmo" +
+      "or.directory.NodeReportMessageH\000\022?\n\006upda" +
+      "te\030\002 \001(\0132-.ragwortmoor.directory.Directo" +
+      "ryUpdateMessageH\000\0222\n\004join\030\003 \001(\0132\".ragwor" +
+      "tmoor.directory.JoinMessageH\000\022A\n\007request" +
+      "\030\004 \001(\0132..ragwortmoor.directory.Forwarded" +
+      "RequestMessageH\000\022?\n\006answer\030\005 \001(\0132-.ragwo" +
+      "rtmoor.directory.ForwardedAnswerMessageH" +
+      "\000B\006\n\004body*a\n\rQuotaStanding\022\027\n\023QUOTA_STAN" +
+      "DING_NONE\020\000\022\032\n\026QUOTA_STANDING_PARTIAL\020\001\022" +
+      "\033\n\027QUOTA_STANDING_COMPLETE\020\002B!\n\035org.ragw" +
+      "ortmoor.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -394,7 +398,7 @@
     internal_static_ragwortmoor_directory_NodeReportMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_ragwortmoor_directory_NodeReportMessage_descriptor,
-        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", "Relayed", "QuotaEpoch", "Usage", });
+        new java.lang.String[] { "Proxy", "RoutesRevision", "ServersRevision", "Primaries", "Id", "Incarnation", "Domain", "ForwardingAddress", "NeighboursHash", "Stopping", "Relayed", "QuotaEpoch", "Usage", "QuotaStanding", });
     internal_static_ragwortmoor_directory_WorkspaceUsageMessage_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_ragwortmoor_directory_WorkspaceUsageMessage_fieldAccessorTable = new
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessage.java
@@ -33,6 +33,7 @@
     domain_ = "";
     forwardingAddress_ = "";
     usage_ = java.util.Collections.emptyList();
+    quotaStanding_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -367,6 +368,24 @@
     return usage_.get(index);
   }
 
+  public static final int QUOTA_STANDING_FIELD_NUMBER = 14;
+  private int quotaStanding_ = 0;
+  /**
+   * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+   * @return The enum numeric value on the wire for quotaStanding.
+   */
+  @java.lang.Override public int getQuotaStandingValue() {
+    return quotaStanding_;
+  }
+  /**
+   * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+   * @return The quotaStanding.
+   */
+  @java.lang.Override public org.ragwortmoor.protocol.wire.QuotaStanding getQuotaStanding() {
+    org.ragwortmoor.protocol.wire.QuotaStanding result = org.ragwortmoor.protocol.wire.QuotaStanding.forNumber(quotaStanding_);
+    return result == null ? org.ragwortmoor.protocol.wire.QuotaStanding.UNRECOGNIZED : result;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -420,6 +439,9 @@
     for (int i = 0; i < usage_.size(); i++) {
       output.writeMessage(13, usage_.get(i));
     }
+    if (quotaStanding_ != org.ragwortmoor.protocol.wire.QuotaStanding.QUOTA_STANDING_NONE.getNumber()) {
+      output.writeEnum(14, quotaStanding_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -478,6 +500,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, usage_.get(i));
     }
+    if (quotaStanding_ != org.ragwortmoor.protocol.wire.QuotaStanding.QUOTA_STANDING_NONE.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(14, quotaStanding_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -519,6 +545,7 @@
         != other.getQuotaEpoch()) return false;
     if (!getUsageList()
         .equals(other.getUsageList())) return false;
+    if (quotaStanding_ != other.quotaStanding_) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -568,6 +595,8 @@
       hash = (37 * hash) + USAGE_FIELD_NUMBER;
       hash = (53 * hash) + getUsageList().hashCode();
     }
+    hash = (37 * hash) + QUOTA_STANDING_FIELD_NUMBER;
+    hash = (53 * hash) + quotaStanding_;
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -724,6 +753,7 @@
         usageBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00001000);
+      quotaStanding_ = 0;
       return this;
     }
 
@@ -812,6 +842,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.quotaEpoch_ = quotaEpoch_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.quotaStanding_ = quotaStanding_;
+      }
     }
 
     @java.lang.Override
@@ -917,6 +950,9 @@
           }
         }
       }
+      if (other.quotaStanding_ != 0) {
+        setQuotaStandingValue(other.getQuotaStandingValue());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1024,6 +1060,11 @@
               }
               break;
             } // case 106
+            case 112: {
+              quotaStanding_ = input.readEnum();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2085,6 +2126,57 @@
       return usageBuilder_;
     }
 
+    private int quotaStanding_ = 0;
+    /**
+     * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+     * @return The enum numeric value on the wire for quotaStanding.
+     */
+    @java.lang.Override public int getQuotaStandingValue() {
+      return quotaStanding_;
+    }
+    /**
+     * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+     * @param value The enum numeric value on the wire for quotaStanding to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQuotaStandingValue(int value) {
+      quotaStanding_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+     * @return The quotaStanding.
+     */
+    @java.lang.Override
+    public org.ragwortmoor.protocol.wire.QuotaStanding getQuotaStanding() {
+      org.ragwortmoor.protocol.wire.QuotaStanding result = org.ragwortmoor.protocol.wire.QuotaStanding.forNumber(quotaStanding_);
+      return result == null ? org.ragwortmoor.protocol.wire.QuotaStanding.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+     * @param value The quotaStanding to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQuotaStanding(org.ragwortmoor.protocol.wire.QuotaStanding value) {
+      if (value == null) { throw new NullPointerException(); }
+      bitField0_ |= 0x00002000;
+      quotaStanding_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQuotaStanding() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      quotaStanding_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:ragwortmoor.directory.NodeReportMessage)
   }
 
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/NodeReportMessageOrBuilder.java
@@ -173,4 +173,15 @@
    */
   org.ragwortmoor.protocol.wire.WorkspaceUsageMessageOrBuilder getUsageOrBuilder(
       int index);
+
+  /**
+   * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+   * @return The enum numeric value on the wire for quotaStanding.
+   */
+  int getQuotaStandingValue();
+  /**
+   * <code>.ragwortmoor.directory.QuotaStanding quota_standing = 14;</code>
+   * @return The quotaStanding.
+   */
+  org.ragwortmoor.protocol.wire.QuotaStanding getQuotaStanding();
 }
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/WorkspaceUsageMessage.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/WorkspaceUsageMessage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Use of the quota of a workspace by the callers of a proxy. The totals count from the start of the process.
+ * Use of the quota of a workspace by the callers of a proxy. The totals count from when the proxy adopted the epoch.
  * </pre>
  *
  * Protobuf type {@code ragwortmoor.directory.WorkspaceUsageMessage}
@@ -128,7 +128,7 @@
   private int recentUsed_ = 0;
   /**
    * <pre>
-   * Tokens used within the last window.
+   * Tokens used within the last window; only until the leader has answered a report of the epoch.
    * </pre>
    *
    * <code>uint32 recent_used = 5;</code>
@@ -158,7 +158,7 @@
   private int wanted_ = 0;
   /**
    * <pre>
-   * Tokens that the proxy requests in advance.
+   * Tokens that the proxy wants to hold in advance, including those that it holds.
    * </pre>
    *
    * <code>uint32 wanted = 7;</code>
@@ -395,7 +395,7 @@
   }
   /**
    * <pre>
-   * Use of the quota of a workspace by the callers of a proxy. The totals count from the start of the process.
+   * Use of the quota of a workspace by the callers of a proxy. The totals count from when the proxy adopted the epoch.
    * </pre>
    *
    * Protobuf type {@code ragwortmoor.directory.WorkspaceUsageMessage}
@@ -790,7 +790,7 @@
     private int recentUsed_ ;
     /**
      * <pre>
-     * Tokens used within the last window.
+     * Tokens used within the last window; only until the leader has answered a report of the epoch.
      * </pre>
      *
      * <code>uint32 recent_used = 5;</code>
@@ -802,7 +802,7 @@
     }
     /**
      * <pre>
-     * Tokens used within the last window.
+     * Tokens used within the last window; only until the leader has answered a report of the epoch.
      * </pre>
      *
      * <code>uint32 recent_used = 5;</code>
@@ -818,7 +818,7 @@
     }
     /**
      * <pre>
-     * Tokens used within the last window.
+     * Tokens used within the last window; only until the leader has answered a report of the epoch.
      * </pre>
      *
      * <code>uint32 recent_used = 5;</code>
@@ -878,7 +878,7 @@
     private int wanted_ ;
     /**
      * <pre>
-     * Tokens that the proxy requests in advance.
+     * Tokens that the proxy wants to hold in advance, including those that it holds.
      * </pre>
      *
      * <code>uint32 wanted = 7;</code>
@@ -890,7 +890,7 @@
     }
     /**
      * <pre>
-     * Tokens that the proxy requests in advance.
+     * Tokens that the proxy wants to hold in advance, including those that it holds.
      * </pre>
      *
      * <code>uint32 wanted = 7;</code>
@@ -906,7 +906,7 @@
     }
     /**
      * <pre>
-     * Tokens that the proxy requests in advance.
+     * Tokens that the proxy wants to hold in advance, including those that it holds.
      * </pre>
      *
      * <code>uint32 wanted = 7;</code>
--- a/core/src/main/java/org/ragwortmoor/protocol/wire/WorkspaceUsageMessageOrBuilder.java
+++ b/core/src/main/java/org/ragwortmoor/protocol/wire/WorkspaceUsageMessageOrBuilder.java
@@ -46,7 +46,7 @@
 
   /**
    * <pre>
-   * Tokens used within the last window.
+   * Tokens used within the last window; only until the leader has answered a report of the epoch.
    * </pre>
    *
    * <code>uint32 recent_used = 5;</code>
@@ -66,7 +66,7 @@
 
   /**
    * <pre>
-   * Tokens that the proxy requests in advance.
+   * Tokens that the proxy wants to hold in advance, including those that it holds.
    * </pre>
    *
    * <code>uint32 wanted = 7;</code>
