Connect quotas to reports, updates and settings

Proxies report the use of quotas and get tokens in updates of their own, which are sent once a majority has confirmed the leader after the arrival of the report. The settings quota-window, quota-excess and quota-slack switch them on; without a window or limits nothing is sent, counted or refused. SessionEngine has an OperationGate, which no session calls yet. Tests of the wiring, settings, proxy registry, directory client and layers pass.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryClient.java
@@ -20,6 +20,7 @@
 import org.ragwortmoor.protocol.PeerBody;
 import org.ragwortmoor.protocol.PeerEnvelope;
 import org.ragwortmoor.protocol.ProtocolError;
+import org.ragwortmoor.protocol.QuotaCodec;
 import org.ragwortmoor.protocol.wire.DirectoryMessage;
 import org.ragwortmoor.protocol.wire.DirectoryUpdateMessage;
 import org.ragwortmoor.protocol.wire.NeighbourMessage;
@@ -81,6 +82,7 @@
     private long neighboursHash;
     private boolean identityNeeded = true;
     private boolean lastReportUrgent;
+    private Option<ProxyQuotas> quotas = Option.none();
 
     DirectoryClient(
             ProxyIdentity self,
@@ -113,6 +115,11 @@
         return now - lastUpdateAt < ANSWER_TIMEOUT_NANOS || relayed.answered(now);
     }
 
+    /** Sets the quotas, whose use is reported and whose answers arrive here. */
+    void setQuotas(ProxyQuotas newQuotas) {
+        quotas = Option.some(newQuotas);
+    }
+
     /** Sends a report if one is due. */
     void tick() {
         long now = System.nanoTime();
@@ -123,6 +130,15 @@
             return;
         }
         lastReportUrgent = urgent;
+        sendReport(now);
+    }
+
+    /** Sends a report although none is due. */
+    void reportNow() {
+        sendReport(System.nanoTime());
+    }
+
+    private void sendReport(long now) {
         lastReportAt = now;
         DirectoryMessage report = nextReport(now);
         if (!leader.isEmpty() && now - lastUpdateAt >= LEADER_TIMEOUT_NANOS) {
@@ -197,6 +213,7 @@
                             .setHoldsLease(observation.holdsLease())
                             .setNeedsLease(observation.needsLease()));
         }
+        quotas.forEach(q -> q.addUsage(report, id));
         recordUnanswered(id, now, observations);
         return DirectoryMessage.newBuilder().setReport(report).build();
     }
@@ -252,6 +269,10 @@
     }
 
     private void apply(DirectoryUpdateMessage update) {
+        if (QuotaCodec.concernsQuotas(update)) {
+            quotas.forEach(q -> q.apply(update));
+            return;
+        }
         identityNeeded = update.getNeedsIdentity();
         updateFleet(update);
         engine.setLeasesRequired(update.getLeaseMillis() > 0);
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -159,6 +159,16 @@
         return log == null ? 0 : log.log().node().term();
     }
 
+    /** Returns the time for which a majority has confirmed this leader; none if it cannot lead. */
+    Option<Long> quorumContactAt() {
+        return leads() ? log.log().node().quorumContactAt() : Option.none();
+    }
+
+    /** Contacts the members without waiting for the next heartbeat. */
+    void confirmLeadership() {
+        log.handle(new ConsensusEvent.ConfirmLeadership());
+    }
+
     DirectoryState state() {
         return log == null ? DirectoryState.EMPTY : log.state();
     }
@@ -306,6 +316,9 @@
             try {
                 log.handle(new ConsensusEvent.Received(message));
                 updateLeadership();
+                if (leading) {
+                    leaderDuties.answerQuotas(System.nanoTime());
+                }
             } catch (RuntimeException e) {
                 recover("message of " + message.from(), e);
             }
--- a/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import org.ragwortmoor.coordination.quota.QuotaSettings;
 import org.ragwortmoor.settings.Address;
 import org.ragwortmoor.settings.Role;
 import org.ragwortmoor.settings.Setting;
@@ -26,6 +27,7 @@
  * @param platformFencing whether the platform deposes a replaced primary and checks fencing tokens
  * @param primaryLeaseMillis duration of a proxy's lease on a primary, where the platform does not
  *     fence
+ * @param quotas limits on the operations of workspaces
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
  */
 public record DirectorySettings(
@@ -38,6 +40,7 @@
         String promotionAddress,
         boolean platformFencing,
         long primaryLeaseMillis,
+        QuotaSettings quotas,
         String metricsAddress) {
     /** Addresses separated by commas; may be empty. */
     static final ValueType<List<String>> SEEDS =
@@ -110,6 +113,31 @@
                     "A promotion waits this long for proxies that cannot be reached; without"
                             + " control, writes stop after it.");
 
+    /** Window of the quotas of workspaces. */
+    static final Setting<Double> QUOTA_WINDOW =
+            Setting.of(
+                    "quota-window",
+                    ValueTypes.decimal(0, 600),
+                    "s",
+                    "0",
+                    "Operations of a workspace are limited in every window of this length; 0: no"
+                            + " limits. The same at proxies and directory processes.");
+
+    private static final Setting<Double> QUOTA_EXCESS =
+            Setting.of(
+                    "quota-excess",
+                    ValueTypes.decimal(0, 10),
+                    "fraction",
+                    "0",
+                    "A window may exceed the limit of a workspace by this fraction.");
+    private static final Setting<Double> QUOTA_SLACK =
+            Setting.of(
+                    "quota-slack",
+                    ValueTypes.decimal(0, 1_000_000),
+                    "operations",
+                    "0",
+                    "A window may exceed the limit of a workspace by this number in addition.");
+
     /** Address that serves metrics and the state dump. */
     static final Setting<String> METRICS =
             Setting.of(
@@ -134,6 +162,9 @@
                             PROMOTION,
                             FENCING,
                             PRIMARY_LEASE,
+                            QUOTA_WINDOW,
+                            QUOTA_EXCESS,
+                            QUOTA_SLACK,
                             METRICS),
                     DirectorySettings::of,
                     settings -> List.of());
@@ -168,6 +199,10 @@
                 values.value(PROMOTION),
                 values.value(FENCING),
                 values.value(PRIMARY_LEASE),
+                new QuotaSettings(
+                        values.value(QUOTA_WINDOW),
+                        values.value(QUOTA_EXCESS),
+                        values.value(QUOTA_SLACK)),
                 values.value(METRICS));
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
+++ b/app/src/main/java/org/ragwortmoor/directory/LeaderDuties.java
@@ -1,6 +1,7 @@
 package org.ragwortmoor.directory;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.ragwortmoor.coordination.directory.PrimaryLeaseTable;
@@ -26,6 +27,7 @@
     private final DirectoryNode node;
     private final ProxyRegistry proxies;
     private final PromotionExecutor promotionExecutor;
+    private final LeaderQuotas quotas;
     private FleetSize proposedSize = FleetSize.UNKNOWN;
 
     LeaderDuties(
@@ -39,6 +41,7 @@
                 new PrimaryLeaseTable(
                         settings.platformFencing() ? 0 : settings.primaryLeaseMillis());
         this.proxies = new ProxyRegistry(leases);
+        this.quotas = new LeaderQuotas(settings.quotas());
         this.promotionExecutor =
                 new PromotionExecutor(
                         settings.controlAddress().toString(),
@@ -52,6 +55,7 @@
     /** Starts anew after this process was elected. */
     void elected(long now) {
         promotionExecutor.reset(now);
+        quotas.elected(node.term(), node.state(), now);
         proxies.elected(node.state(), memberAddresses(), now);
     }
 
@@ -59,9 +63,21 @@
     void tick(long now) {
         promotionExecutor.tick(node.state(), now);
         countProxies(now);
+        answerQuotas(now);
         proxies.pushUpdates(node.state(), memberAddresses(), now);
     }
 
+    /** Answers the reports about quotas that a majority has confirmed since they arrived. */
+    void answerQuotas(long now) {
+        FleetSize recorded = node.state().fleet();
+        boolean reduced = proposedSize.proxies() > 0 && proposedSize.proxies() < recorded.proxies();
+        quotas.setState(node.state(), reduced ? proposedSize : recorded);
+        node.quorumContactAt().forEach(contactAt -> quotas.answer(contactAt, now));
+        if (quotas.confirmationDue(now)) {
+            node.confirmLeadership();
+        }
+    }
+
     /** Handles the commit of a command. */
     void applied(DirectoryCommand command, long index) {
         if (command instanceof DirectoryCommand.OrderPromotion order
@@ -80,6 +96,9 @@
         long now = System.nanoTime();
         promotionExecutor.recordObservations(report, now);
         proxies.answerReport(report, reply, node.state(), memberAddresses(), now);
+        if (quotas.record(report, reply, now)) {
+            answerQuotas(now);
+        }
     }
 
     /**
@@ -94,7 +113,9 @@
     }
 
     List<String> dump() {
-        return promotionExecutor.dump();
+        List<String> lines = new ArrayList<>(promotionExecutor.dump());
+        lines.addAll(quotas.describe(System.nanoTime()));
+        return lines;
     }
 
     @Override
@@ -120,7 +141,9 @@
     private void countProxies(long now) {
         FleetSize recorded = node.state().fleet();
         for (FleetSize counted : proxies.changedSize(recorded, now)) {
-            if (!counted.equals(proposedSize)) {
+            // A proxy that is not counted any more may still use tokens.
+            boolean tokensLeft = quotas.memberCount() > counted.proxies();
+            if (!counted.equals(proposedSize) && !tokensLeft) {
                 proposedSize = counted;
                 LOG.info(
                         "event=proxies_counted count={} domains={} before={}",
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.ragwortmoor.coordination.session.DirectoryView;
 import org.ragwortmoor.coordination.session.HolderLink;
 import org.ragwortmoor.coordination.session.ProxyIdentity;
 import org.ragwortmoor.coordination.session.SessionEngine;
@@ -53,6 +54,7 @@
     private final ForwardingClient links;
     private final ForwardingServer forwarding;
     private final DirectoryClient directory;
+    private final ProxyQuotas quotas;
     private final PeerClient peers;
     private final StatementServer server;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -99,7 +101,12 @@
                         new MemberAddresses(settings.peerPort()),
                         settings.seeds(),
                         new RelayedReports(links),
-                        engine::update);
+                        this::updateView);
+        quotas =
+                new ProxyQuotas(
+                        settings.quotaWindowSeconds(), loop, directory::reportNow, registry);
+        directory.setQuotas(quotas);
+        engine.setOperationGate(quotas.gate());
         peers =
                 new PeerClient(
                         TransportSettings.forPeers(host),
@@ -114,6 +121,11 @@
         loop.scheduleAtFixedRate(this::tick, 0, tick, TimeUnit.NANOSECONDS);
     }
 
+    private void updateView(DirectoryView view) {
+        quotas.update(view);
+        engine.update(view);
+    }
+
     private DirectoryClient directory() {
         return directory;
     }
@@ -162,6 +174,7 @@
         lines.add("forwarded=" + engine.forwardedCount());
         lines.addAll(engine.describe());
         lines.addAll(links.describe());
+        lines.addAll(quotas.describe());
         return lines;
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -17,6 +17,7 @@
  * @param peerPort port for other processes; the same on all VMs
  * @param seeds control addresses of some directory processes
  * @param stopMillis time from the start of a planned stop until the process is killed
+ * @param quotaWindowSeconds window of the quotas of workspaces; 0 if there are none
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
  */
 public record StatementProxySettings(
@@ -27,6 +28,7 @@
         int peerPort,
         List<String> seeds,
         long stopMillis,
+        double quotaWindowSeconds,
         String metricsAddress) {
     private static final Setting<String> NAME =
             Setting.required("name", ValueTypes.NAME, "Identifies the proxy in reports.");
@@ -57,6 +59,7 @@
                             DirectorySettings.PEER_PORT,
                             DirectorySettings.SEED_ADDRESSES,
                             STOP,
+                            DirectorySettings.QUOTA_WINDOW,
                             DirectorySettings.METRICS),
                     StatementProxySettings::of,
                     settings -> List.of());
@@ -89,6 +92,7 @@
                 values.number(DirectorySettings.PEER_PORT),
                 values.value(DirectorySettings.SEED_ADDRESSES),
                 values.value(STOP) * 1_000,
+                values.value(DirectorySettings.QUOTA_WINDOW),
                 values.value(DirectorySettings.METRICS));
     }
 }
--- a/app/src/main/java/org/ragwortmoor/settings/ValueTypes.java
+++ b/app/src/main/java/org/ragwortmoor/settings/ValueTypes.java
@@ -41,6 +41,27 @@
         return new ValueType<>(min + " to " + max, text -> number(text, min, max));
     }
 
+    /** Returns the type of numbers from {@code min} to {@code max} that may have a fraction. */
+    public static ValueType<Double> decimal(double min, double max) {
+        return new ValueType<>(
+                format(min) + " to " + format(max) + ", also with a fraction",
+                text -> decimal(text, min, max));
+    }
+
+    private static String format(double number) {
+        return number == Math.rint(number) ? Long.toString((long) number) : "" + number;
+    }
+
+    private static Either<String, Double> decimal(String text, double min, double max) {
+        if (text.length() > MAX_DIGITS || !text.matches("-?[0-9]+([.][0-9]+)?")) {
+            return Either.left("'" + text + "' is no number");
+        }
+        double value = Double.parseDouble(text);
+        return value >= min && value <= max
+                ? Either.right(value)
+                : Either.left(text + " is out of range");
+    }
+
     private static Either<String, Long> number(String text, long min, long max) {
         int start = text.startsWith("-") ? 1 : 0;
         boolean digits = text.length() > start && text.length() <= MAX_DIGITS;
--- a/app/src/test/java/org/ragwortmoor/directory/RunningDirectory.java
+++ b/app/src/test/java/org/ragwortmoor/directory/RunningDirectory.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.ragwortmoor.coordination.directory.CallOutcome;
+import org.ragwortmoor.coordination.quota.QuotaSettings;
 import org.ragwortmoor.settings.Address;
 import org.ragwortmoor.state.directory.DirectoryState;
 import org.ragwortmoor.state.routes.RouteTable;
@@ -47,6 +48,7 @@
                         "",
                         false,
                         3_000,
+                        new QuotaSettings(0, 0, 0),
                         "");
         node =
                 new DirectoryNode(
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -93,6 +93,17 @@
         wasActive = nowActive;
     }
 
+    /** Returns whether the primary needs attention that should not wait for the next report. */
+    boolean needsAttention(long silenceNanos) {
+        Server server = leader().server();
+        return active()
+                && server != null
+                && (leader().nanosWithoutProof() >= silenceNanos
+                        || leader().hasDenied()
+                        || server.lastOpenFailed()
+                        || !lease().permitsWork(server));
+    }
+
     /** Returns whether this proxy holds connections to the group or has used it recently. */
     boolean active() {
         return holders.holdsConnections()
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.ragwortmoor.coordination.placement.ConnectionPlan;
 import org.ragwortmoor.coordination.placement.HolderRanking;
+import org.ragwortmoor.coordination.workspace.OperationGate;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.routes.GroupLimits;
 import org.ragwortmoor.state.routes.Route;
@@ -33,6 +34,7 @@
     private boolean stopping;
     private boolean isolated;
     private boolean closingIdle;
+    private OperationGate operationGate = OperationGate.OPEN;
 
     /**
      * Creates an engine without routes.
@@ -87,6 +89,15 @@
         }
     }
 
+    /** Sets what decides whether an operation may start. */
+    public void setOperationGate(OperationGate gate) {
+        operationGate = gate;
+    }
+
+    OperationGate operationGate() {
+        return operationGate;
+    }
+
     /** Starts to execute the statements that another proxy forwards over a new link. */
     public ForwardingSession acceptForwarding(String from) {
         ForwardingSession session = new ForwardingSession(this, from);
@@ -197,14 +208,7 @@
 
     /** Returns whether a primary needs attention that should not wait for the next report. */
     public boolean reportUrgent(long silenceNanos) {
-        return groups.values().stream()
-                .filter(group -> group.active() && group.leader().server() != null)
-                .anyMatch(
-                        group ->
-                                group.leader().nanosWithoutProof() >= silenceNanos
-                                        || group.leader().hasDenied()
-                                        || group.leader().server().lastOpenFailed()
-                                        || !group.lease().permitsWork(group.leader().server()));
+        return groups.values().stream().anyMatch(group -> group.needsAttention(silenceNanos));
     }
 
     /** Sets whether primaries may be used only under a lease of the directory. */
