--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -166,6 +166,11 @@
         return log == null ? 0 : log.log().node().term();
     }
 
+    /** Contacts the members without waiting for the next heartbeat. */
+    void confirmLeadership() {
+        log.handle(new ConsensusEvent.ConfirmLeadership());
+    }
+
     DirectoryState state() {
         return log == null ? DirectoryState.EMPTY : log.state();
     }
@@ -313,6 +318,9 @@
             try {
                 log.handle(new ConsensusEvent.Received(message));
                 updateLeadership();
+                if (leading) {
+                    leaderDuties.answerQuotas(System.nanoTime());
+                }
             } catch (RuntimeException e) {
                 recover("message of " + message.from(), e);
             }
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -19,6 +19,7 @@
  * @param stopMillis time from the start of a planned stop until the process is killed
  * @param keyRevocationMillis time within which a removed key must be refused; 0 if it is not
  *     limited
+ * @param quotaWindowSeconds window of the quotas of workspaces; 0 if there are none
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
  */
 public record StatementProxySettings(
@@ -30,6 +31,7 @@
         List<String> seeds,
         long stopMillis,
         long keyRevocationMillis,
+        double quotaWindowSeconds,
         String metricsAddress) {
     private static final Setting<String> NAME =
             Setting.required("name", ValueTypes.NAME, "Identifies the proxy in reports.");
@@ -70,6 +72,7 @@
                             DirectorySettings.SEED_ADDRESSES,
                             STOP,
                             KEY_REVOCATION,
+                            DirectorySettings.QUOTA_WINDOW,
                             DirectorySettings.METRICS),
                     StatementProxySettings::of,
                     settings -> List.of());
@@ -103,6 +106,7 @@
                 values.value(DirectorySettings.SEED_ADDRESSES),
                 values.value(STOP) * 1_000,
                 values.value(KEY_REVOCATION),
+                values.value(DirectorySettings.QUOTA_WINDOW),
                 values.value(DirectorySettings.METRICS));
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionEngine.java
@@ -181,17 +181,8 @@
 
     /** Returns whether a primary, or the check of keys, should not wait for the next report. */
     public boolean reportUrgent(long silenceNanos) {
-        if (keys.needsConfirmation()) {
-            return true;
-        }
-        return groups.values().stream()
-                .filter(group -> group.active() && group.leader().server() != null)
-                .anyMatch(
-                        group ->
-                                group.leader().nanosWithoutProof() >= silenceNanos
-                                        || group.leader().hasDenied()
-                                        || group.leader().server().lastOpenFailed()
-                                        || !group.lease().permitsWork(group.leader().server()));
+        return keys.needsConfirmation()
+                || groups.values().stream().anyMatch(group -> group.needsAttention(silenceNanos));
     }
 
     /** Sets whether primaries may be used only under a lease of the directory. */
