Make two quota protocol tests fail without their rule

Two tests passed with their rule removed: an earlier epoch was adopted without effect on what was checked, and the account had returned its tokens before the lease mattered. Both now fail without their rule (trial on a scratch copy); QuotaProtocolTest passes, 11 tests.

--- a/core/src/test/java/org/ragwortmoor/coordination/quota/QuotaProtocolTest.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/quota/QuotaProtocolTest.java
@@ -92,6 +92,7 @@
         answer(4, 5, 1, new QuotaGrant("w", 9, 0));
         request();
         assertThat(outcomes).isEmpty();
+        assertThat(account.report(6).epoch()).isEqualTo(5);
     }
 
     /** The new leader does not know the tokens yet and may consider them free. */
@@ -99,11 +100,14 @@
     void theAdoptionOfAnEpochDoesNotRenewTheLeaseOnTokens() {
         join(3);
         host.now = 4 * SECOND;
+        // Without an operation the account would return its tokens.
+        request();
         account.report(3);
         answer(5, 3, 1);
+        assertThat(account.report(4).usage().get(0).available()).isEqualTo(1);
         host.now = 6 * SECOND;
         request();
-        assertThat(outcomes).isEmpty();
+        assertThat(outcomes).containsExactly("permitted");
     }
 
     @Test
