Replace idle connections of other workspaces with care, and count openings

Change: a statement waits up to 60 ms for a connection of its workspace that is in use; one connection is replaced at a time for each server; the one of the workspace with the fewest recent uses is replaced. Idle connections fill at most the guaranteed share, which leaves room for holders that start anew. Openings and closed idle connections are counted by cause.

--- a/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DecisionLogger.java
@@ -28,6 +28,8 @@
     private final Counter statements;
     private final Counter forwarded;
     private final Counter connections;
+    private final Counter openings;
+    private final Counter idleClosings;
     private final Counter serverAnswers;
     private final Counter mismatchedAnswers;
     private final Histogram latency;
@@ -57,6 +59,18 @@
                         .help("Server connections that failed to open or were lost")
                         .labelNames("kind")
                         .register(registry);
+        this.openings =
+                Counter.builder()
+                        .name("ragwortmoor_server_connections_opening_total")
+                        .help("Server connections that were begun to open, by cause")
+                        .labelNames("cause")
+                        .register(registry);
+        this.idleClosings =
+                Counter.builder()
+                        .name("ragwortmoor_server_connections_idle_closed_total")
+                        .help("Idle server connections that the proxy closed, by cause")
+                        .labelNames("cause")
+                        .register(registry);
         this.serverAnswers =
                 Counter.builder()
                         .name("ragwortmoor_server_answers_total")
@@ -151,6 +165,16 @@
         }
     }
 
+    @Override
+    public void connectionOpening(String cause) {
+        openings.labelValues(cause).inc();
+    }
+
+    @Override
+    public void idleConnectionClosed(String cause) {
+        idleClosings.labelValues(cause).inc();
+    }
+
     @Override
     public void connectionFailed(String group, String server, String reason) {
         connections.labelValues("failed").inc();
--- a/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
@@ -321,6 +321,12 @@
     }
 
     private static final class NoLog implements DecisionLog {
+        @Override
+        public void connectionOpening(String cause) {}
+
+        @Override
+        public void idleConnectionClosed(String cause) {}
+
         @Override
         public void statement(
                 String id,
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
@@ -44,6 +44,7 @@
     private final long deadline;
     private final Listener listener;
     private final Set<String> excluded = new HashSet<>();
+    private long queuedAt;
 
     ConnectionRequest(
             Target target,
@@ -79,6 +80,15 @@
         return values;
     }
 
+    /** Returns the time at which the request was queued. */
+    long queuedAt() {
+        return queuedAt;
+    }
+
+    void markQueued(long now) {
+        queuedAt = now;
+    }
+
     Set<String> excluded() {
         return excluded;
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionShare.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionShare.java
@@ -15,10 +15,14 @@
      *
      * @param holds whether the plan has this proxy hold connections; if not, it needs them only
      *     while it cannot reach those that do, and keeps none
+     * @param workspaces whether there are workspaces; an idle connection then serves only one, so
+     *     the guaranteed ones are all kept
      */
-    static ConnectionShare of(ConnectionPlan plan, boolean holds) {
-        return holds
-                ? new ConnectionShare(plan.guaranteed(), plan.retained(), plan.maximum())
-                : new ConnectionShare(1, 0, plan.guaranteed());
+    static ConnectionShare of(ConnectionPlan plan, boolean holds, boolean workspaces) {
+        if (!holds) {
+            return new ConnectionShare(1, 0, plan.guaranteed());
+        }
+        int retained = workspaces ? plan.guaranteed() : plan.retained();
+        return new ConnectionShare(plan.guaranteed(), retained, plan.maximum());
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/DecisionLog.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/DecisionLog.java
@@ -60,6 +60,20 @@
     void answerMismatched(
             String group, String server, String kind, String statementId, String message);
 
+    /**
+     * A server connection is being opened.
+     *
+     * @param cause {@code demand}, {@code advance} or {@code probe}
+     */
+    void connectionOpening(String cause);
+
+    /**
+     * An idle server connection was closed.
+     *
+     * @param cause {@code replaced}, {@code surplus} or {@code workspace_removed}
+     */
+    void idleConnectionClosed(String cause);
+
     /** A server connection could not be opened. */
     void connectionFailed(String group, String server, String reason);
 
--- a/core/src/main/java/org/ragwortmoor/coordination/session/IdleConnections.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/IdleConnections.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -68,6 +69,27 @@
         return Option.of(best);
     }
 
+    /**
+     * Returns the connection that is expected to be needed last, or null: that of the workspace
+     * with the fewest recent uses, where a further connection of a workspace counts less. Of equal
+     * ones, it is the least recently used one.
+     */
+    ServerConnection leastUseful(WorkspaceUsage usage, long now) {
+        ServerConnection least = null;
+        double fewestUses = Double.MAX_VALUE;
+        Map<String, Integer> counts = new HashMap<>();
+        for (ServerConnection connection : connections) {
+            String workspace = connection.workspace();
+            int count = counts.merge(workspace, 1, Integer::sum);
+            double uses = usage.usesAt(workspace, now) / count;
+            if (uses <= fewestUses) {
+                least = connection;
+                fewestUses = uses;
+            }
+        }
+        return least;
+    }
+
     /** Removes and returns the least recently used connection. */
     Option<ServerConnection> takeLeastRecent() {
         return Option.of(connections.pollLast());
--- a/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/LeaderTracker.java
@@ -185,7 +185,7 @@
         Option<ServerConnection> idle = server.acquireForProbe();
         if (idle.isEmpty()) {
             if (server.opening() == 0 && server.canOpen(group.share())) {
-                server.open("");
+                server.open("", OpeningCause.PROBE);
             }
             done.run();
             return;
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -9,9 +9,6 @@
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
-import org.ragwortmoor.state.statement.MessageKind;
-import org.ragwortmoor.state.statement.NameField;
-import org.ragwortmoor.state.statement.StatementMessage;
 
 /**
  * A database server and the connection pool of this proxy to it. A connection belongs to one
@@ -23,13 +20,11 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
-    /** What servers are told on connections that belong to no workspace. */
-    private static final String NO_WORKSPACE = "ragwortmoor";
-
     private final SessionHost host;
     private final ServerGroup group;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private final IdleConnections idle = new IdleConnections();
+    private final WorkspaceUsage usage = new WorkspaceUsage();
     private final Set<ServerConnection> probing = new HashSet<>();
     private final Map<String, Integer> openingByWorkspace = new HashMap<>();
     private ServerRecord record;
@@ -41,6 +36,7 @@
     private long openFailedAt;
     private long overloadedAt;
     private boolean openHasFailed;
+    private boolean replacing;
     private double averageLatencyMillis = 10;
     private double failureRate;
     private long failedAt;
@@ -65,12 +61,6 @@
         return group.log();
     }
 
-    /** Returns the message that starts a connection of a workspace, or of none. */
-    StatementMessage handshake(String workspace) {
-        String name = workspace.isEmpty() ? NO_WORKSPACE : NameField.format(workspace);
-        return StatementMessage.of(MessageKind.CONNECT, record.group(), name, record.id());
-    }
-
     void update(ServerRecord newRecord) {
         boolean notReady = newRecord.state() != ServerState.READY;
         if (notReady && record.state() == ServerState.READY) {
@@ -219,8 +209,12 @@
      * connection of another one.
      */
     boolean canOpen(ConnectionShare share, String workspace) {
-        boolean room = connections.size() < limit(share) || idle.count() > idle.count(workspace);
-        return room && mayStartOpening();
+        return (connections.size() < limit(share) || canReplace(workspace)) && mayStartOpening();
+    }
+
+    /** Returns whether the idle connections all belong to other workspaces, and there are some. */
+    private boolean canReplace(String workspace) {
+        return idle.count() > 0 && idle.count(workspace) == 0;
     }
 
     private boolean mayStartOpening() {
@@ -233,19 +227,42 @@
         return overloaded ? share.guaranteed() : share.maximum();
     }
 
-    /** Returns whether a request of the workspace has to wait for a statement to end. */
-    boolean usedUp(ConnectionShare share, String workspace) {
-        return idle.count() == 0 && opening(workspace) == 0 && connections.size() >= limit(share);
+    /**
+     * Returns whether another request of the workspace has to wait for a statement to end.
+     *
+     * @param waiting requests of the workspace that wait already
+     */
+    boolean usedUp(ConnectionShare share, String workspace, long waiting) {
+        int room = Math.max(0, limit(share) - connections.size());
+        return idle.count() == 0 && opening(workspace) + room <= waiting;
     }
 
-    /** Closes an idle connection of another workspace if the share is used up. */
-    void makeRoom(ConnectionShare share, String workspace) {
-        ServerConnection oldest = idle.leastRecent();
-        if (connections.size() >= limit(share)
-                && oldest != null
-                && !oldest.workspace().equals(workspace)) {
-            oldest.close("its place is used for another workspace");
+    /**
+     * Opens a connection for a waiting request, if possible. Where idle connections of other
+     * workspaces take up the guaranteed share, one of them is closed for it, so that holders that
+     * start anew find room at the server.
+     */
+    void openFor(ConnectionRequest request, ConnectionShare share) {
+        String workspace = request.workspace();
+        if (!canOpen(share, workspace)) {
+            return;
         }
+        if (canReplace(workspace) && connections.size() >= share.guaranteed()) {
+            long waited = host.now() - request.queuedAt();
+            boolean mayWait = waited < SessionSettings.REPLACEMENT_DELAY_NANOS;
+            // Replacements in parallel took so many slots at 3.2 times the load of the test that
+            // more than half of the operations were late.
+            if (opening > 0 || (mayWait && inUse(workspace) > 0)) {
+                return;
+            }
+            closeIdle(idle.leastUseful(usage, host.now()), IdleClosingCause.REPLACED);
+        }
+        open(workspace, OpeningCause.DEMAND);
+    }
+
+    private long inUse(String workspace) {
+        long all = connections.stream().filter(c -> c.workspace().equals(workspace)).count();
+        return all - idle.count(workspace) - opening(workspace);
     }
 
     /** Closes the oldest idle connection beyond the retained ones once its idle time is over. */
@@ -254,23 +271,32 @@
         boolean surplus = oldest != null && connections.size() > share.retained();
         if (surplus
                 && host.now() - oldest.idleSince() > SessionSettings.SURPLUS_IDLE_TIMEOUT_NANOS) {
-            oldest.close("surplus connection was idle");
+            closeIdle(oldest, IdleClosingCause.SURPLUS);
         }
     }
 
+    private void closeIdle(ServerConnection connection, IdleClosingCause cause) {
+        group.log().idleConnectionClosed(cause.label());
+        // Replacements are frequent where connections are scarce, so they are only counted.
+        replacing = cause == IdleClosingCause.REPLACED;
+        connection.close(cause.reason());
+        replacing = false;
+    }
+
     /** Closes idle connections of workspaces that no longer exist. */
     void closeIdleOfRemovedWorkspaces() {
         for (ServerConnection connection : idle.copy()) {
             long idleTime = host.now() - connection.idleSince();
             if (idleTime > SessionSettings.SURPLUS_IDLE_TIMEOUT_NANOS
                     && !group.hasWorkspace(connection.workspace())) {
-                connection.close("the workspace was removed");
+                closeIdle(connection, IdleClosingCause.WORKSPACE_REMOVED);
             }
         }
     }
 
     /** Opens a connection of a workspace, or of none if the name is empty. */
-    void open(String workspace) {
+    void open(String workspace, OpeningCause cause) {
+        group.log().connectionOpening(cause.label());
         if (opening == 0) {
             openingStartedAt = host.now();
         }
@@ -285,6 +311,7 @@
      * values.
      */
     Option<ServerConnection> acquireIdle(String workspace, Map<String, String> values) {
+        usage.record(workspace, host.now());
         return idle.take(workspace, values);
     }
 
@@ -353,7 +380,7 @@
             }
             nextOpenAt = host.now() + SessionSettings.OPEN_BACKOFF_NANOS;
             group.log().connectionFailed(record.group(), record.id(), reason);
-        } else {
+        } else if (!replacing) {
             group.log().connectionLost(record.group(), record.id(), reason);
         }
     }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerConnection.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerConnection.java
@@ -199,7 +199,7 @@
 
     @Override
     public void opened() {
-        link.send(List.of(server.handshake(workspace)));
+        link.send(List.of(ServerHandshake.message(server.record(), workspace)));
     }
 
     @Override
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -133,7 +133,7 @@
     void update(
             List<ServerRecord> records, ConnectionPlan plan, HolderRanking ranking, Fleet fleet) {
         holders.update(ranking, fleet.neighbours());
-        share = ConnectionShare.of(plan, holders.holdsConnections());
+        share = ConnectionShare.of(plan, holders.holdsConnections(), hasWorkspaces());
         Map<String, ServerRecord> recordsById = new HashMap<>();
         records.forEach(record -> recordsById.put(record.id(), record));
         for (Server server : List.copyOf(servers.values())) {
@@ -195,7 +195,7 @@
                     && server.acceptsReads()
                     && available < SessionSettings.MIN_IDLE_CONNECTIONS
                     && server.canOpen(share)) {
-                server.open("");
+                server.open("", OpeningCause.ADVANCE);
             }
             server.closeSurplusIdle(share);
             server.closeIdleOfRemovedWorkspaces();
@@ -298,6 +298,7 @@
 
     /** Requests a connection; the listener may be called before this method returns. */
     void requestConnection(ConnectionRequest request) {
+        request.markQueued(host.now());
         pendingRequests.add(request);
         dispatch();
     }
@@ -340,9 +341,8 @@
                 continue;
             }
             int needed = openingsNeeded.merge(new Opening(server, workspace), 1, Integer::sum);
-            if (needed > server.opening(workspace) && server.canOpen(share, workspace)) {
-                server.makeRoom(share, workspace);
-                server.open(workspace);
+            if (needed > server.opening(workspace)) {
+                server.openFor(request, share);
             }
         }
     }
@@ -355,12 +355,16 @@
      */
     boolean connectionsUsedUp(String workspace, ConnectionRequest.Target target) {
         Server current = leader.server();
+        long waiting =
+                pendingRequests.inOrder().stream()
+                        .filter(request -> request.workspace().equals(workspace))
+                        .count();
         if (target == ConnectionRequest.Target.LEADER) {
-            return current != null && current.usedUp(share, workspace);
+            return current != null && current.usedUp(share, workspace, waiting);
         }
         return !servers.isEmpty()
                 && servers.values().stream()
-                        .allMatch(s -> !s.acceptsReads() || s.usedUp(share, workspace));
+                        .allMatch(s -> !s.acceptsReads() || s.usedUp(share, workspace, waiting));
     }
 
     private Server selectServer(ConnectionRequest request) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -86,6 +86,13 @@
     /** Idle time after which a connection beyond the retained ones is closed. */
     static final long SURPLUS_IDLE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /**
+     * Time for which a statement waits for a connection of its workspace that is in use, before an
+     * idle one of another workspace is closed for it; most statements end within 55 ms. Without the
+     * wait, there were 0.35 instead of 0.30 openings per operation in a trial with 84 workspaces.
+     */
+    static final long REPLACEMENT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
     /** Idle connections that are opened to each server in advance. */
     static final int MIN_IDLE_CONNECTIONS = 1;
 
--- a/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/FakeServer.java
@@ -17,6 +17,7 @@
 
 /** A simulated database server of the statement protocol with switchable faults. */
 final class FakeServer {
+    final ServerLoad load;
     private final SimulatedHost host;
     private final ServerRecord record;
     private final List<Session> sessions = new ArrayList<>();
@@ -28,7 +29,6 @@
     private int answersToLose;
     private int busyRejections;
     private boolean failsReads;
-    private int workMillis = 5;
     private int maxConnections = 100;
     private int connects;
     private int refusedConnects;
@@ -40,6 +40,7 @@
 
     FakeServer(SimulatedHost host, String id, String zone, boolean leads) {
         this.host = host;
+        this.load = new ServerLoad(host);
         this.leader = leads;
         this.record =
                 new ServerRecord(
@@ -153,7 +154,7 @@
     }
 
     FakeServer setWorkMillis(int millis) {
-        workMillis = millis;
+        load.setStatementMillis(text -> millis);
         return this;
     }
 
@@ -197,6 +198,7 @@
         private final SimulatedHost.Connection connection;
         private final Map<String, String> values = new HashMap<>();
         private final Set<String> prepared = new HashSet<>();
+        private String workspace = "";
         private String state = "I";
         private final Deque<StatementMessage> queue = new ArrayDeque<>();
         private boolean executing;
@@ -217,11 +219,13 @@
                 return;
             }
             if (message.kind() == MessageKind.CONNECT) {
+                workspace = message.field(1);
+                load.arrived(workspace, "CONNECT");
                 if (sessions.size() > maxConnections) {
                     refusedConnects++;
                     connection.deliver(StatementMessage.of(MessageKind.ERROR, "OVERLOAD", ""));
                 } else {
-                    ready();
+                    load.connect(this::answer);
                 }
                 return;
             }
@@ -237,6 +241,7 @@
 
         private void query(StatementMessage message) {
             String id = message.field(0);
+            load.arrived(workspace, id);
             String text = message.field(1);
             String[] words = text.split(" ");
             if (words[0].equals("AFTER")) {
@@ -282,8 +287,8 @@
                 }
                 default -> {
                     executing = true;
-                    host.afterMillis(
-                            workMillis,
+                    load.execute(
+                            text,
                             () -> {
                                 executing = false;
                                 execute(id, text, words);
@@ -375,10 +380,6 @@
             }
         }
 
-        private void ready() {
-            answer();
-        }
-
         /** Sends messages and a READY, and repeats them as the repeater says. */
         private void answer(StatementMessage... messages) {
             List<StatementMessage> answer = new ArrayList<>(List.of(messages));
--- a/core/src/test/java/org/ragwortmoor/coordination/session/NoOpDecisionLog.java
+++ b/core/src/test/java/org/ragwortmoor/coordination/session/NoOpDecisionLog.java
@@ -5,6 +5,12 @@
 
 /** A decision log that discards everything. */
 final class NoOpDecisionLog implements DecisionLog {
+    @Override
+    public void connectionOpening(String cause) {}
+
+    @Override
+    public void idleConnectionClosed(String cause) {}
+
     @Override
     public void statement(
             String id,
