Use the counters of opened and closed connections in the test of the metrics page

MetricsPageTest failed with 2 of 4 tests, since it scrapes only metrics that it has used. Not run since.

--- a/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
+++ b/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
@@ -50,6 +50,8 @@
         decisions.statement("id", "database", "server", "ok", "", Option.none(), 1, 1);
         decisions.forwardedStatement("id", "proxy", "server", "ok", "", Option.none(), 1, 1);
         decisions.connectionLost("group", "server", "reason");
+        decisions.connectionOpening("demand");
+        decisions.idleConnectionClosed("replaced");
         decisions.serverAnswered("signed");
         decisions.answerMismatched("group", "server", "kind", "id", "message");
         new TrafficMetrics(registry);
