Select servers for reads by measured costs in fleets with holders

The costs of the present selector are fixed in milliseconds, and its averages never lose their effect: a slow server is not tried again, and many holders move together on figures of equal age.

The present costs are now FixedCostChoice, behind ReadServerChoice; small fleets keep them. ReadServerSelector keeps the checks of positions, exclusions and connections.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/ReadServerSelector.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ReadServerSelector.java
@@ -1,38 +1,38 @@
 package org.ragwortmoor.coordination.session;
 
 import java.util.Collection;
-
-/**
- * Selects the server for a read by the lowest expected cost in milliseconds.
- *
- * <p>The average latency includes the queueing behind the work of other proxies; the statements of
- * this proxy in progress are added to it. A server in another failure domain adds traffic between
- * domains, and reads on the primary take capacity from writes. Both are therefore selected only
- * when the other servers are more heavily loaded.
- */
+import java.util.SplittableRandom;
+import org.ragwortmoor.coordination.balancing.Candidates;
+import org.ragwortmoor.coordination.balancing.FixedCostChoice;
+import org.ragwortmoor.coordination.balancing.MeasuredCostChoice;
+import org.ragwortmoor.coordination.balancing.ReadServerChoice;
+import org.ragwortmoor.coordination.placement.ConnectionPlan;
+
+/** Finds the servers that may serve a read, and has one of them selected. */
 final class ReadServerSelector {
-    /**
-     * Additional cost of a server in another failure domain. At this value, a local server is
-     * avoided once a read would queue behind several others.
-     */
-    private static final double REMOTE_DOMAIN_COST_MILLIS = 45;
-
-    /** Additional cost of the primary. */
-    private static final double PRIMARY_COST_MILLIS = 6;
+    private final SessionHost host;
+    private final String zone;
+    private final ReadServerChoice fixedCosts = new FixedCostChoice();
+    private final ReadServerChoice measuredCosts;
+    private final Candidates<Server> candidates = new Candidates<>();
+    private ReadServerChoice choice = fixedCosts;
 
     /**
-     * Additional cost of a server that fails every statement; a health check may still succeed. A
-     * read that fails has to be sent again.
+     * Creates a selector.
+     *
+     * @param group name of the group; the draws of proxies and groups differ
      */
-    private static final double FAILURE_COST_MILLIS = 400;
-
-    /** Additional cost of a connection that must be opened first. */
-    private static final double OPENING_COST_MILLIS = 15;
-
-    private final String zone;
+    ReadServerSelector(SessionHost host, ProxyIdentity self, String group) {
+        this.host = host;
+        this.zone = self.failureDomain();
+        this.measuredCosts =
+                new MeasuredCostChoice(
+                        new SplittableRandom((self.name() + '\n' + group).hashCode()));
+    }
 
-    ReadServerSelector(String zone) {
-        this.zone = zone;
+    /** Sets the plan; only fleets in which some proxies hold connections use measured costs. */
+    void setPlan(ConnectionPlan plan) {
+        choice = plan.direct() ? fixedCosts : measuredCosts;
     }
 
     /** Returns the cheapest server with an idle or openable connection, or null. */
@@ -41,8 +41,7 @@
             ConnectionRequest request,
             Server primary,
             ConnectionShare share) {
-        Server best = null;
-        double bestCost = Double.MAX_VALUE;
+        candidates.clear();
         for (Server server : servers) {
             boolean eligible =
                     server.acceptsReads()
@@ -51,25 +50,14 @@
             boolean hasIdle = server.idleCount() > 0;
             // A server that did not accept the last connection may not accept the next one either.
             boolean canOpen = server.opening() > 0 || server.canOpen(share);
-            if (!eligible
-                    || !(hasIdle
-                            || (canOpen && !server.lastOpenFailed() && !server.slowToOpen()))) {
-                continue;
-            }
-            double cost = cost(server, server == primary) + (hasIdle ? 0 : OPENING_COST_MILLIS);
-            if (cost < bestCost) {
-                best = server;
-                bestCost = cost;
+            if (eligible
+                    && (hasIdle || (canOpen && !server.lastOpenFailed() && !server.slowToOpen()))) {
+                boolean local = server.record().failureDomain().equals(zone);
+                candidates.add(server, local, server == primary, hasIdle);
             }
         }
-        return best;
-    }
-
-    private double cost(Server server, boolean primary) {
-        double slots = Math.max(1, server.record().slots());
-        double cost = server.averageLatencyMillis() * (1 + server.inUse() / slots);
-        cost += server.record().failureDomain().equals(zone) ? 0 : REMOTE_DOMAIN_COST_MILLIS;
-        cost += server.failureRate() * FAILURE_COST_MILLIS;
-        return cost + (primary ? PRIMARY_COST_MILLIS : 0);
+        return candidates.size() == 0
+                ? null
+                : candidates.server(choice.select(candidates, host.now()));
     }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -6,18 +6,16 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.ragwortmoor.coordination.balancing.AnswerFigures;
+import org.ragwortmoor.coordination.balancing.ServerLoad;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
 
 /** A database server and the connection pool of this proxy to it. */
-final class Server {
-    /** Weight of the newest sample in the moving average of the latency. */
-    private static final double LATENCY_WEIGHT = 0.2;
-
-    private static final double NANOS_PER_MILLI = 1e6;
-
+final class Server implements ServerLoad {
     private final SessionHost host;
+    private final AnswerFigures figures;
     private final ServerGroup group;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private final Deque<ServerConnection> idle = new ArrayDeque<>();
@@ -30,9 +28,6 @@
     private long openFailedAt;
     private long overloadedAt;
     private boolean openHasFailed;
-    private double averageLatencyMillis = 10;
-    private double failureRate;
-    private long failedAt;
     private Option<Position> lastPosition = Option.none();
 
     Server(SessionHost host, ServerGroup group, ServerRecord record) {
@@ -42,7 +37,7 @@
         this.lastReceivedAt = host.now();
         this.nextOpenAt = host.now();
         this.drainingSince = host.now();
-        this.failedAt = host.now();
+        this.figures = new AnswerFigures(host.now());
         this.overloadedAt = host.now() - SessionSettings.OVERLOAD_BACKOFF_NANOS;
     }
 
@@ -137,26 +132,24 @@
         return lastPosition;
     }
 
-    /** Adds the latency of a statement that succeeded, in nanoseconds, to the average. */
+    /** Adds the latency of a statement that succeeded, in nanoseconds, to the figures. */
     void recordLatency(long nanos) {
-        averageLatencyMillis += LATENCY_WEIGHT * (nanos / NANOS_PER_MILLI - averageLatencyMillis);
-        failureRate -= LATENCY_WEIGHT * failureRate;
+        figures.recordAnswer(nanos, host.now());
     }
 
     /** Records that the server executed a statement and failed. */
     void recordFailure() {
-        failureRate += LATENCY_WEIGHT * (1 - failureRate);
-        failedAt = host.now();
+        figures.recordFailure(host.now());
     }
 
-    /** Returns the share of the recent statements that failed; 0 some time after the last one. */
-    double failureRate() {
-        boolean recent = host.now() - failedAt < SessionSettings.FAILURE_MEMORY_NANOS;
-        return recent ? failureRate : 0;
+    @Override
+    public AnswerFigures figures() {
+        return figures;
     }
 
-    double averageLatencyMillis() {
-        return averageLatencyMillis;
+    @Override
+    public int slots() {
+        return record.slots();
     }
 
     /** Returns whether a statement has been sent and not yet answered. */
@@ -164,7 +157,8 @@
         return connections.stream().anyMatch(c -> c.oldestPendingSince().isDefined());
     }
 
-    int inUse() {
+    @Override
+    public int inUse() {
         return connections.size() - idle.size() - opening;
     }
 
@@ -252,6 +246,7 @@
 
     void connectionOpened(ServerConnection connection) {
         opening--;
+        figures.recordOpened(host.now());
         connection.markIdle(host.now());
         idle.addFirst(connection);
         group.dispatch();
@@ -268,6 +263,7 @@
             } else {
                 openFailedAt = host.now();
                 openHasFailed = true;
+                figures.recordUnreachable();
             }
             nextOpenAt = host.now() + SessionSettings.OPEN_BACKOFF_NANOS;
             group.log().connectionFailed(record.group(), record.id(), reason);
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -40,7 +40,7 @@
         this.name = name;
         this.host = host;
         this.log = log;
-        this.readSelector = new ReadServerSelector(self.failureDomain());
+        this.readSelector = new ReadServerSelector(host, self, name);
         this.lease = new PrimaryLease(host);
         this.leader = new LeaderTracker(this, host, log);
         this.holders = new HolderSelector(host, self.name(), this);
@@ -118,6 +118,7 @@
             List<ServerRecord> records, ConnectionPlan plan, HolderRanking ranking, Fleet fleet) {
         holders.update(ranking, fleet.neighbours());
         share = ConnectionShare.of(plan, holders.holdsConnections());
+        readSelector.setPlan(plan);
         Map<String, ServerRecord> recordsById = new HashMap<>();
         records.forEach(record -> recordsById.put(record.id(), record));
         for (Server server : List.copyOf(servers.values())) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/SessionSettings.java
@@ -47,9 +47,6 @@
     /** Time without an answer to a pending statement after which a server is avoided. */
     static final long RESPONSE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** Time for which a server that failed statements is avoided for reads. */
-    static final long FAILURE_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(2);
-
     /** Pause before a statement that found no free slot is retried. */
     static final long BUSY_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
 
