--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.ragwortmoor.coordination.balancing.AnswerFigures;
+import org.ragwortmoor.coordination.balancing.ServerLoad;
 import org.ragwortmoor.state.Position;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.directory.ServerState;
@@ -14,13 +16,9 @@
  * A database server and the connection pool of this proxy to it. A connection belongs to one
  * workspace for its lifetime, or to none.
  */
-final class Server {
-    /** Weight of the newest sample in the moving average of the latency. */
-    private static final double LATENCY_WEIGHT = 0.2;
-
-    private static final double NANOS_PER_MILLI = 1e6;
-
+final class Server implements ServerLoad {
     private final SessionHost host;
+    private final AnswerFigures figures;
     private final ServerGroup group;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private final IdleConnections idle = new IdleConnections();
@@ -37,9 +35,6 @@
     private long overloadedAt;
     private boolean openHasFailed;
     private boolean replacing;
-    private double averageLatencyMillis = 10;
-    private double failureRate;
-    private long failedAt;
     private Option<Position> lastPosition = Option.none();
 
     Server(SessionHost host, ServerGroup group, ServerRecord record) {
@@ -49,7 +44,7 @@
         this.lastReceivedAt = host.now();
         this.nextOpenAt = host.now();
         this.drainingSince = host.now();
-        this.failedAt = host.now();
+        this.figures = new AnswerFigures(host.now());
         this.overloadedAt = host.now() - SessionSettings.OVERLOAD_BACKOFF_NANOS;
     }
 
@@ -144,26 +139,24 @@
         return lastPosition;
     }
 
-    /** Adds the latency of a statement that succeeded, in nanoseconds, to the average. */
+    /** Adds the latency of a statement that succeeded, in nanoseconds, to the figures. */
     void recordLatency(long nanos) {
-        averageLatencyMillis += LATENCY_WEIGHT * (nanos / NANOS_PER_MILLI - averageLatencyMillis);
-        failureRate -= LATENCY_WEIGHT * failureRate;
+        figures.recordAnswer(nanos, host.now());
     }
 
     /** Records that the server executed a statement and failed. */
     void recordFailure() {
-        failureRate += LATENCY_WEIGHT * (1 - failureRate);
-        failedAt = host.now();
+        figures.recordFailure(host.now());
     }
 
-    /** Returns the share of the recent statements that failed; 0 some time after the last one. */
-    double failureRate() {
-        boolean recent = host.now() - failedAt < SessionSettings.FAILURE_MEMORY_NANOS;
-        return recent ? failureRate : 0;
+    @Override
+    public AnswerFigures figures() {
+        return figures;
     }
 
-    double averageLatencyMillis() {
-        return averageLatencyMillis;
+    @Override
+    public int slots() {
+        return record.slots();
     }
 
     /** Returns whether a statement has been sent and not yet answered. */
@@ -171,7 +164,8 @@
         return connections.stream().anyMatch(c -> c.oldestPendingSince().isDefined());
     }
 
-    int inUse() {
+    @Override
+    public int inUse() {
         return connections.size() - idle.count() - opening;
     }
 
@@ -360,6 +354,7 @@
 
     void connectionOpened(ServerConnection connection) {
         openingEnded(connection);
+        figures.recordOpened(host.now());
         connection.markIdle(host.now());
         idle.addMostRecent(connection);
         group.dispatch();
@@ -377,6 +372,7 @@
             } else {
                 openFailedAt = host.now();
                 openHasFailed = true;
+                figures.recordUnreachable();
             }
             nextOpenAt = host.now() + SessionSettings.OPEN_BACKOFF_NANOS;
             group.log().connectionFailed(record.group(), record.id(), reason);
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -42,7 +42,7 @@
         this.name = name;
         this.host = host;
         this.log = log;
-        this.readSelector = new ReadServerSelector(self.failureDomain());
+        this.readSelector = new ReadServerSelector(host, self, name);
         this.lease = new PrimaryLease(host);
         this.leader = new LeaderTracker(this, host, log);
         this.holders = new HolderSelector(host, self.name(), this);
@@ -145,6 +145,7 @@
             List<ServerRecord> records, ConnectionPlan plan, HolderRanking ranking, Fleet fleet) {
         holders.update(ranking, fleet.neighbours());
         share = ConnectionShare.of(plan, holders.holdsConnections(), hasWorkspaces());
+        readSelector.setPlan(plan);
         Map<String, ServerRecord> recordsById = new HashMap<>();
         records.forEach(record -> recordsById.put(record.id(), record));
         for (Server server : List.copyOf(servers.values())) {
@@ -177,17 +178,7 @@
 
     /** Returns the state as one line of the state dump. */
     String describe() {
-        StringBuilder line = new StringBuilder("group " + name);
-        line.append(" leader=").append(Option.of(leader.server()).map(s -> s.record().id()));
-        line.append(" unproved_ms=").append(leader.nanosWithoutProof() / NANOS_PER_MILLI);
-        line.append(" denied=").append(leader.hasDenied());
-        line.append(" lease=").append(lease);
-        line.append(" waiting=").append(pendingRequests.size());
-        for (Server server : servers.values()) {
-            line.append(' ').append(server.record().id()).append('=');
-            line.append(server.inUse()).append('/').append(server.connectionCount());
-        }
-        return line.toString();
+        return GroupDescription.of(this);
     }
 
     /** Closes all connections once no route leads to the group. */
