Limit what callers and connections may take from a process

A session queued up to 64 messages of 1 MiB, and nothing bounded the bytes of all sessions, their number, unread answers, half messages, or the connections to the addresses for HTTP and other processes. A crowd of 16 callers that send large messages ahead exhausted a heap of 48 MiB. Afterwards every statement got "no server was free": an error that escaped from ServerGroup.dispatch left its flag set, so that nothing was dispatched any more.

Sessions are now paused, refused or closed by CallerBudget, other connections by OpenConnections; both decide in core without I/O. Limits are settings, by default derived from the heap and the free descriptors, with metrics and log lines.

--- a/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
+++ b/app/src/main/java/org/ragwortmoor/daemon/ControlNode.java
@@ -26,6 +26,7 @@
 import org.ragwortmoor.state.log.LogSettings;
 import org.ragwortmoor.state.log.StorageError;
 import org.ragwortmoor.state.log.StorageException;
+import org.ragwortmoor.transport.ConnectionGuard;
 import org.ragwortmoor.transport.PeerClient;
 import org.ragwortmoor.transport.PeerServer;
 import org.ragwortmoor.transport.TransportMetrics;
@@ -101,7 +102,8 @@
                         config.nodeId(),
                         workers.pool(),
                         loop,
-                        transportMetrics);
+                        transportMetrics,
+                        ConnectionGuard.unlimited());
         LOG.info(
                 "control process {} in {} serves peers on port {} and HTTP on port {}",
                 config.nodeId(),
--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -70,6 +70,7 @@
      *
      * @param start start time of the process
      * @param loops an event loop group with one loop
+     * @param guards limits on connections
      * @param registry registry for the transport metrics
      * @throws IOException if an address is in use
      */
@@ -78,6 +79,7 @@
             ProcessStart start,
             EventLoopGroup loops,
             PromotionClient promotions,
+            ConnectionGuards guards,
             PrometheusRegistry registry)
             throws IOException {
         LOG.info("event=start role=directory {}", settings.summary());
@@ -95,7 +97,15 @@
         leaderDuties =
                 new LeaderDuties(
                         this, settings, new StatementClient(loops, host), promotions, loop);
-        server = new PeerServer(transport, settings.peerPort(), self, loop, listener, metrics);
+        server =
+                new PeerServer(
+                        transport,
+                        settings.peerPort(),
+                        self,
+                        loop,
+                        listener,
+                        metrics,
+                        guards.peers());
         loop.execute(() -> open(start.at()));
         loop.scheduleAtFixedRate(
                 this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -190,6 +200,9 @@
             }
         } catch (RuntimeException e) {
             recover("tick", e);
+        } catch (OutOfMemoryError e) {
+            // An error that is not caught would end the periodic task.
+            recover("tick", new IllegalStateException(e));
         }
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -27,6 +27,8 @@
  * @param primaryLeaseMillis duration of a proxy's lease on a primary, where the platform does not
  *     fence
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
+ * @param controlLimits limits on connections of servers and operators
+ * @param connections limits on other connections
  */
 public record DirectorySettings(
         String failureDomain,
@@ -38,7 +40,9 @@
         String promotionAddress,
         boolean platformFencing,
         long primaryLeaseMillis,
-        String metricsAddress) {
+        String metricsAddress,
+        ControlLimits controlLimits,
+        ConnectionLimits connections) {
     /** Addresses separated by commas; may be empty. */
     static final ValueType<List<String>> SEEDS =
             new ValueType<>("IP:PORT,..., or nothing", DirectorySettings::parseAddresses);
@@ -124,17 +128,7 @@
             new Role<>(
                     "directory",
                     "Runs a directory process: routes, servers, promotions.",
-                    List.of(
-                            DOMAIN,
-                            CONTROL,
-                            PEER_PORT,
-                            SEED_ADDRESSES,
-                            BOOTSTRAP,
-                            DATA,
-                            PROMOTION,
-                            FENCING,
-                            PRIMARY_LEASE,
-                            METRICS),
+                    allSettings(),
                     DirectorySettings::of,
                     settings -> List.of());
 
@@ -157,6 +151,25 @@
                 "folder=" + dataFolder);
     }
 
+    private static List<Setting<?>> allSettings() {
+        List<Setting<?>> all =
+                new ArrayList<>(
+                        List.of(
+                                DOMAIN,
+                                CONTROL,
+                                PEER_PORT,
+                                SEED_ADDRESSES,
+                                BOOTSTRAP,
+                                DATA,
+                                PROMOTION,
+                                FENCING,
+                                PRIMARY_LEASE,
+                                METRICS));
+        all.addAll(ControlLimits.settings());
+        all.addAll(ConnectionLimits.settings());
+        return List.copyOf(all);
+    }
+
     private static DirectorySettings of(SettingValues values) {
         return new DirectorySettings(
                 values.value(DOMAIN),
@@ -168,7 +181,9 @@
                 values.value(PROMOTION),
                 values.value(FENCING),
                 values.value(PRIMARY_LEASE),
-                values.value(METRICS));
+                values.value(METRICS),
+                ControlLimits.of(values),
+                ConnectionLimits.of(values));
     }
 
     private static Either<String, Boolean> parseSwitch(String text) {
--- a/app/src/main/java/org/ragwortmoor/directory/MonitoringServer.java
+++ b/app/src/main/java/org/ragwortmoor/directory/MonitoringServer.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import org.ragwortmoor.daemon.MetricsText;
 import org.ragwortmoor.settings.Address;
+import org.ragwortmoor.transport.ConnectionGuard;
 import org.ragwortmoor.transport.NettyHttpServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,12 +29,14 @@
      * process runs without metrics.
      *
      * @param address IP address and port; empty if metrics are not served
+     * @param guard limits the connections
      * @param state lines of the state dump; called on the event loop
      */
     public static void start(
             EventLoopGroup loops,
             String address,
             PrometheusRegistry registry,
+            ConnectionGuard guard,
             Supplier<List<String>> state) {
         if (address.isEmpty()) {
             return;
@@ -50,6 +53,7 @@
                     target.ip().getHostAddress(),
                     target.port(),
                     MAX_REQUEST_BYTES,
+                    guard,
                     request -> CompletableFuture.completedFuture(reply(request, registry, state)));
         } catch (IOException e) {
             LOG.warn("event=metrics_unavailable reason=\"{}\"", e.getMessage());
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxyNode.java
@@ -17,6 +17,7 @@
 import org.ragwortmoor.coordination.session.SessionEngine;
 import org.ragwortmoor.coordination.session.SessionHost;
 import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.transport.CallerGuard;
 import org.ragwortmoor.transport.ForwardingClient;
 import org.ragwortmoor.transport.ForwardingServer;
 import org.ragwortmoor.transport.PeerClient;
@@ -41,6 +42,9 @@
     /** Interval between checks for idle sessions during a planned stop. */
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 100;
 
+    /** Callers are checked every 0.25 s; their time limits are seconds. */
+    private static final int TICKS_PER_CALLER_CHECK = 5;
+
     /** Part of the grace period that is reserved for closing the process. */
     private static final long CLOSE_RESERVE_MILLIS = 400;
 
@@ -54,6 +58,7 @@
     private final ForwardingServer forwarding;
     private final DirectoryClient directory;
     private final PeerClient peers;
+    private final CallerGuard callers;
     private final StatementServer server;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private long tickCount;
@@ -63,6 +68,7 @@
      *
      * @param listening socket bound to the statement address
      * @param loops an event loop group with one loop
+     * @param guards limits on connections
      * @param registry registry for the metrics
      * @throws IOException if the socket cannot be used
      */
@@ -70,6 +76,7 @@
             StatementProxySettings settings,
             ServerSocketChannel listening,
             EventLoopGroup loops,
+            ConnectionGuards guards,
             PrometheusRegistry registry)
             throws IOException {
         LOG.info("event=start role=statement-proxy {}", settings.summary());
@@ -90,7 +97,8 @@
                         host,
                         settings.peerPort(),
                         engine::acceptForwarding,
-                        (from, report, reply) -> directory().relay(from, report, reply));
+                        (from, report, reply) -> directory().relay(from, report, reply),
+                        guards.peers());
         directory =
                 new DirectoryClient(
                         self,
@@ -109,7 +117,8 @@
                         new TransportMetrics(registry),
                         new Random());
         directory.start(peers);
-        server = new StatementServer(loops, listening, engine::accept);
+        callers = guards.callers(settings.callers());
+        server = new StatementServer(loops, listening, callers, engine::accept);
         long tick = SessionEngine.tickNanos();
         loop.scheduleAtFixedRate(this::tick, 0, tick, TimeUnit.NANOSECONDS);
     }
@@ -128,8 +137,13 @@
             engine.tick();
             links.tick();
             directory.tick();
+            if (tickCount % TICKS_PER_CALLER_CHECK == 0) {
+                callers.tick();
+            }
             engine.setDirectoryReachable(directory.leaderResponsive());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError e) {
+            // An error that is not caught would end the periodic task: without it there are no
+            // reports and no leases, and every statement gets "no server was free" from then on.
             LOG.error("event=tick_failed outcome=continues", e);
         }
     }
@@ -159,6 +173,13 @@
                         + "/"
                         + engine.view().serversRevision());
         lines.add("sessions=" + engine.sessionCount() + " waiting=" + engine.waitingCount());
+        lines.add(
+                "callers sessions="
+                        + callers.budget().sessions()
+                        + " unconnected="
+                        + callers.budget().unconnectedSessions()
+                        + " bytes="
+                        + callers.budget().totalBytes());
         lines.add("forwarded=" + engine.forwardedCount());
         lines.addAll(engine.describe());
         lines.addAll(links.describe());
@@ -237,7 +258,7 @@
         private void runAndLogFailure(Runnable task) {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | OutOfMemoryError e) {
                 LOG.error("event=task_failed", e);
             }
         }
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.directory;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.ragwortmoor.settings.Address;
 import org.ragwortmoor.settings.Role;
@@ -18,6 +19,8 @@
  * @param seeds control addresses of some directory processes
  * @param stopMillis time from the start of a planned stop until the process is killed
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
+ * @param callers limits on callers
+ * @param connections limits on other connections
  */
 public record StatementProxySettings(
         String name,
@@ -27,7 +30,9 @@
         int peerPort,
         List<String> seeds,
         long stopMillis,
-        String metricsAddress) {
+        String metricsAddress,
+        CallerLimitSettings callers,
+        ConnectionLimits connections) {
     private static final Setting<String> NAME =
             Setting.required("name", ValueTypes.NAME, "Identifies the proxy in reports.");
     private static final Setting<Address> STATEMENTS =
@@ -49,15 +54,7 @@
             new Role<>(
                     "statement-proxy",
                     "Runs a proxy for the statement protocol.",
-                    List.of(
-                            NAME,
-                            DirectorySettings.DOMAIN,
-                            STATEMENTS,
-                            READINESS,
-                            DirectorySettings.PEER_PORT,
-                            DirectorySettings.SEED_ADDRESSES,
-                            STOP,
-                            DirectorySettings.METRICS),
+                    allSettings(),
                     StatementProxySettings::of,
                     settings -> List.of());
 
@@ -80,6 +77,23 @@
                 "seeds=" + seeds);
     }
 
+    private static List<Setting<?>> allSettings() {
+        List<Setting<?>> all =
+                new ArrayList<>(
+                        List.of(
+                                NAME,
+                                DirectorySettings.DOMAIN,
+                                STATEMENTS,
+                                READINESS,
+                                DirectorySettings.PEER_PORT,
+                                DirectorySettings.SEED_ADDRESSES,
+                                STOP,
+                                DirectorySettings.METRICS));
+        all.addAll(CallerLimitSettings.settings());
+        all.addAll(ConnectionLimits.settings());
+        return List.copyOf(all);
+    }
+
     private static StatementProxySettings of(SettingValues values) {
         return new StatementProxySettings(
                 values.value(NAME),
@@ -89,6 +103,8 @@
                 values.number(DirectorySettings.PEER_PORT),
                 values.value(DirectorySettings.SEED_ADDRESSES),
                 values.value(STOP) * 1_000,
-                values.value(DirectorySettings.METRICS));
+                values.value(DirectorySettings.METRICS),
+                CallerLimitSettings.of(values),
+                ConnectionLimits.of(values));
     }
 }
--- a/app/src/main/java/org/ragwortmoor/transport/Channels.java
+++ b/app/src/main/java/org/ragwortmoor/transport/Channels.java
@@ -14,7 +14,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.NetUtil;
@@ -41,20 +40,21 @@
                 settings.eventLoopThreads(), NioIoHandler.newFactory());
     }
 
+    /** Returns the initializer of connections that this process opens. */
     static ChannelInitializer<Channel> initializer(
             FrameLimits limits, Supplier<ChannelHandler> handler) {
+        return initializer(limits, ConnectionGuard.unlimited(), handler);
+    }
+
+    /** Returns the initializer of connections that this process accepts. */
+    static ChannelInitializer<Channel> initializer(
+            FrameLimits limits, ConnectionGuard guard, Supplier<ChannelHandler> handler) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
                         .addLast(flushConsolidation())
-                        .addLast(
-                                new LengthFieldBasedFrameDecoder(
-                                        limits.maxBytes(),
-                                        0,
-                                        FrameLimits.LENGTH_BYTES,
-                                        0,
-                                        FrameLimits.LENGTH_BYTES))
+                        .addLast(new GuardedFrameDecoder(limits, guard))
                         .addLast(new LengthFieldPrepender(FrameLimits.LENGTH_BYTES))
                         .addLast(handler.get());
             }
--- a/app/src/main/java/org/ragwortmoor/transport/ForwardingClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/ForwardingClient.java
@@ -178,7 +178,8 @@
             future.addListener(
                     done -> {
                         if (!done.isSuccess()) {
-                            connectFailed();
+                            // Without a descriptor this is called on a thread of Netty's own.
+                            loop.execute(this::connectFailed);
                         }
                     });
         }
--- a/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vavr.control.Option;
 import java.io.IOException;
@@ -26,6 +27,9 @@
 public final class ForwardingServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ForwardingServer.class);
 
+    /** Holds several answers; a proxy that does not read them is not read beyond it. */
+    private static final int WRITE_BUFFER_HIGH_WATER_BYTES = 4 << 20;
+
     private final Channel listeningChannel;
 
     /**
@@ -36,6 +40,7 @@
      * @param port port to listen on
      * @param sessionFactory creates the session of a new link, given the name of the other proxy
      * @param relay passes on reports of other proxies
+     * @param guard limits the links
      * @throws IOException if the port cannot be bound
      */
     public ForwardingServer(
@@ -43,7 +48,8 @@
             String host,
             int port,
             Function<String, ForwardingSession> sessionFactory,
-            ReportRelay relay)
+            ReportRelay relay,
+            ConnectionGuard guard)
             throws IOException {
         ChannelFuture bound =
                 new ServerBootstrap()
@@ -52,9 +58,15 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.SO_KEEPALIVE, true)
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(
+                                        WRITE_BUFFER_HIGH_WATER_BYTES / 2,
+                                        WRITE_BUFFER_HIGH_WATER_BYTES))
                         .childHandler(
                                 Channels.initializer(
                                         ForwardingFrames.LIMITS,
+                                        guard,
                                         () -> new Link(sessionFactory, relay)))
                         .bind(host, port)
                         .awaitUninterruptibly();
@@ -146,6 +158,11 @@
             channel.close();
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            context.channel().config().setAutoRead(context.channel().isWritable());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (session != null) {
--- a/app/src/main/java/org/ragwortmoor/transport/LineDecoder.java
+++ b/app/src/main/java/org/ragwortmoor/transport/LineDecoder.java
@@ -18,20 +18,60 @@
     private static final int LINE_END_BYTES = 2;
 
     private final int maxLineBytes;
+    private final Reader reader;
 
     /** Number of bytes at the start of the buffer that contain no line end. */
     private int searchedBytes;
 
     private boolean tooLong;
 
+    /** Receives the lines, and may have them wait in the buffer. */
+    interface Reader {
+        /** Returns whether another line may be passed on. */
+        boolean mayDecode();
+
+        /**
+         * Bytes were received.
+         *
+         * @param bytes bytes in the buffer
+         * @param newlyReceived bytes received since the last call
+         */
+        void buffered(int bytes, int newlyReceived);
+    }
+
     /**
-     * Creates a decoder.
+     * Creates a decoder that passes on all lines.
      *
      * @param maxLineBytes maximum size of a line without its end, in bytes; if a line is longer,
      *     the decoder throws {@link TooLongFrameException} as soon as it has received more
      */
     LineDecoder(int maxLineBytes) {
+        this(
+                maxLineBytes,
+                new Reader() {
+                    @Override
+                    public boolean mayDecode() {
+                        return true;
+                    }
+
+                    @Override
+                    public void buffered(int bytes, int newlyReceived) {
+                        // The reader has no limit.
+                    }
+                });
+    }
+
+    /** Creates a decoder that asks {@code reader} before it passes on a line. */
+    LineDecoder(int maxLineBytes, Reader reader) {
         this.maxLineBytes = maxLineBytes;
+        this.reader = reader;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        int newlyReceived = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        super.channelRead(context, message);
+        reader.buffered(actualReadableBytes(), newlyReceived);
     }
 
     @Override
@@ -40,6 +80,9 @@
             in.skipBytes(in.readableBytes());
             return;
         }
+        if (!reader.mayDecode()) {
+            return;
+        }
         int lineBytes = findLineEnd(in);
         boolean complete = lineBytes >= 0;
         if (!complete) {
--- a/app/src/main/java/org/ragwortmoor/transport/NettyHttpServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/NettyHttpServer.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.io.IOException;
@@ -32,6 +33,9 @@
 
 /** A minimal HTTP/1.1 server for load balancers, database servers and operators. */
 public final class NettyHttpServer implements AutoCloseable {
+    /** Requests without a response from which a connection is not read. */
+    private static final int MAX_UNANSWERED = 4;
+
     /** Connections without a request for this long are closed. */
     private static final int IDLE_TIMEOUT_SECONDS = 60;
 
@@ -65,10 +69,16 @@
      * Opens the listening socket.
      *
      * @param maxBodyBytes maximum size of a request body; larger requests get status 413
+     * @param guard limits the connections
      * @throws IOException if the address cannot be bound
      */
     public NettyHttpServer(
-            EventLoopGroup loops, String host, int port, int maxBodyBytes, Handler handler)
+            EventLoopGroup loops,
+            String host,
+            int port,
+            int maxBodyBytes,
+            ConnectionGuard guard,
+            Handler handler)
             throws IOException {
         var bindFuture =
                 new ServerBootstrap()
@@ -80,13 +90,16 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
+                                        HttpInputGuard input = new HttpInputGuard(guard);
                                         channel.pipeline()
                                                 .addLast(
                                                         new ReadTimeoutHandler(
                                                                 IDLE_TIMEOUT_SECONDS))
+                                                .addLast(input)
                                                 .addLast(new HttpServerCodec())
+                                                .addLast(new FlowControlHandler())
                                                 .addLast(new HttpObjectAggregator(maxBodyBytes))
-                                                .addLast(new RequestHandler(handler));
+                                                .addLast(new RequestHandler(input, handler));
                                     }
                                 })
                         .bind(host, port)
@@ -103,15 +116,35 @@
     }
 
     private static final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final HttpInputGuard input;
         private final Handler handler;
         private CompletionStage<Void> previous = CompletableFuture.completedFuture(null);
+        private int unanswered;
 
-        RequestHandler(Handler handler) {
+        RequestHandler(HttpInputGuard input, Handler handler) {
+            this.input = input;
             this.handler = handler;
         }
 
+        /** A client that does not read the responses is not read either. */
+        private void updateReading(ChannelHandlerContext context) {
+            Channel channel = context.channel();
+            boolean read = unanswered < MAX_UNANSWERED && channel.isWritable();
+            if (read != channel.config().isAutoRead()) {
+                channel.config().setAutoRead(read);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            updateReading(context);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            input.requested(context);
+            unanswered++;
+            updateReading(context);
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             CompletionStage<Response> handled = handle(request);
             // Clients match responses with pipelined requests by their order.
@@ -121,6 +154,8 @@
                                     handled.handle(
                                             (response, error) -> {
                                                 writeResponse(context, response, error, keepAlive);
+                                                unanswered--;
+                                                updateReading(context);
                                                 return null;
                                             }));
         }
--- a/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
@@ -26,6 +26,7 @@
     private final Executor executor;
     private final PeerListener listener;
     private final TransportMetrics metrics;
+    private final ConnectionGuard guard;
     private final PeerFrameEncoder encoder;
     private final Channel listeningChannel;
     private final ChannelGroup acceptedChannels =
@@ -38,6 +39,7 @@
      * @param port port to listen on; 0 for an ephemeral port
      * @param self identifier of this process, sent with each message
      * @param executor runs the calls to the listener
+     * @param guard limits the connections
      * @throws IOException if the port cannot be bound
      */
     public PeerServer(
@@ -46,13 +48,15 @@
             String self,
             Executor executor,
             PeerListener listener,
-            TransportMetrics metrics)
+            TransportMetrics metrics,
+            ConnectionGuard guard)
             throws IOException {
         this.settings = settings;
         this.eventLoops = Channels.newEventLoops(settings);
         this.executor = executor;
         this.listener = listener;
         this.metrics = metrics;
+        this.guard = guard;
         this.encoder = new PeerFrameEncoder(self, settings, metrics);
         ChannelFuture bindFuture = bind(port);
         if (!bindFuture.isSuccess()) {
@@ -75,6 +79,7 @@
                 .childHandler(
                         Channels.initializer(
                                 settings.frameLimits(),
+                                guard,
                                 () ->
                                         new PeerChannel(
                                                 "unknown",
--- a/app/src/main/java/org/ragwortmoor/transport/StatementClient.java
+++ b/app/src/main/java/org/ragwortmoor/transport/StatementClient.java
@@ -72,7 +72,9 @@
         connection.connectFuture.addListener(
                 done -> {
                     if (!done.isSuccess()) {
-                        connection.fail("connect: " + done.cause().getClass().getSimpleName());
+                        // Without a descriptor the listener is called on a thread of Netty's own.
+                        String cause = done.cause().getClass().getSimpleName();
+                        eventLoops.next().execute(() -> connection.fail("connect: " + cause));
                     }
                 });
         return connection;
--- a/app/src/main/java/org/ragwortmoor/transport/StatementLines.java
+++ b/app/src/main/java/org/ragwortmoor/transport/StatementLines.java
@@ -27,6 +27,11 @@
         return new LineDecoder(StatementCodec.MAX_LINE_BYTES);
     }
 
+    /** Returns a decoder that also asks {@code reader} before it passes on a line. */
+    static ChannelInboundHandler decoder(LineDecoder.Reader reader) {
+        return new LineDecoder(StatementCodec.MAX_LINE_BYTES, reader);
+    }
+
     /** Writes messages with one flush; returns their size. A failed write closes the channel. */
     static int write(Channel channel, List<StatementMessage> messages) {
         StringBuilder lines = new StringBuilder();
--- a/app/src/main/java/org/ragwortmoor/transport/StatementServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/StatementServer.java
@@ -1,33 +1,27 @@
 package org.ragwortmoor.transport;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
-import java.util.List;
 import java.util.function.Function;
+import org.ragwortmoor.coordination.callers.CallerLimits;
 import org.ragwortmoor.coordination.session.CallerSession;
 import org.ragwortmoor.coordination.session.SessionHost;
-import org.ragwortmoor.state.statement.StatementMessage;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Serves the statement protocol. Sessions run on the event loop of their channels. */
 public final class StatementServer implements AutoCloseable {
-    /** Reading from a caller pauses while more unwritten bytes than this are queued for it. */
+    /**
+     * Unwritten bytes at which the limit of a session is checked at once; between checks it is only
+     * checked periodically.
+     */
     private static final int WRITE_BUFFER_HIGH_WATER_BYTES = 256 << 10;
 
-    private static final Logger LOG = LoggerFactory.getLogger(StatementServer.class);
-
     private final Channel listeningChannel;
 
     /**
@@ -43,6 +37,28 @@
             ServerSocketChannel listeningSocket,
             Function<SessionHost.CallerLink, CallerSession> sessionFactory)
             throws IOException {
+        this(
+                loops,
+                listeningSocket,
+                new CallerGuard(CallerLimits.unlimited(), LimitListener.none()),
+                sessionFactory);
+    }
+
+    /**
+     * Registers the listening socket with the event loop and starts accepting connections.
+     *
+     * @param loops event loop group with a single loop, on which the sessions run
+     * @param listeningSocket bound socket; closed by the server
+     * @param guard limits the callers
+     * @param sessionFactory creates the session of a new connection
+     * @throws IOException if the socket cannot be registered
+     */
+    public StatementServer(
+            EventLoopGroup loops,
+            ServerSocketChannel listeningSocket,
+            CallerGuard guard,
+            Function<SessionHost.CallerLink, CallerSession> sessionFactory)
+            throws IOException {
         var registration =
                 new ServerBootstrap()
                         .group(loops)
@@ -58,11 +74,12 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
+                                        CallerConnection connection =
+                                                new CallerConnection(
+                                                        channel, guard, sessionFactory);
                                         channel.pipeline()
-                                                .addLast(StatementLines.decoder())
-                                                .addLast(
-                                                        new CallerConnection(
-                                                                channel, sessionFactory));
+                                                .addLast(StatementLines.decoder(connection))
+                                                .addLast(connection);
                                     }
                                 })
                         .register()
@@ -77,51 +94,4 @@
     public void close() {
         listeningChannel.close();
     }
-
-    private static final class CallerConnection extends SimpleChannelInboundHandler<ByteBuf>
-            implements SessionHost.CallerLink {
-        private final Channel channel;
-        private final CallerSession session;
-
-        CallerConnection(
-                Channel channel, Function<SessionHost.CallerLink, CallerSession> sessionFactory) {
-            this.channel = channel;
-            this.session = sessionFactory.apply(this);
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, ByteBuf line) {
-            StatementLines.read(line).peek(session::received).peekLeft(session::malformed);
-        }
-
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext context) {
-            channel.config().setAutoRead(channel.isWritable());
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            session.disconnected();
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (cause instanceof TooLongFrameException) {
-                session.malformed("a message is longer than 1 MiB");
-            } else if (!(cause instanceof IOException)) {
-                LOG.error("event=session_failed", cause);
-            }
-            channel.close();
-        }
-
-        @Override
-        public void send(List<StatementMessage> messages) {
-            StatementLines.write(channel, messages);
-        }
-
-        @Override
-        public void close() {
-            StatementLines.closeAfterWrites(channel);
-        }
-    }
 }
--- a/app/src/test/java/org/ragwortmoor/directory/DirectoryClientTest.java
+++ b/app/src/test/java/org/ragwortmoor/directory/DirectoryClientTest.java
@@ -23,6 +23,7 @@
 import org.ragwortmoor.protocol.DirectoryCodec;
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.state.directory.ServerRecord;
+import org.ragwortmoor.transport.ConnectionGuard;
 import org.ragwortmoor.transport.ForwardingClient;
 import org.ragwortmoor.transport.ForwardingServer;
 
@@ -84,7 +85,8 @@
                         HOST,
                         port,
                         engine()::acceptForwarding,
-                        (from, report, reply) -> reports.add(report))) {
+                        (from, report, reply) -> reports.add(report),
+                        ConnectionGuard.unlimited())) {
             NodeReportMessage before = firstReport(port);
             NodeReportMessage after = firstReport(port);
             long distance = Math.abs(before.getId() - after.getId());
--- a/app/src/test/java/org/ragwortmoor/directory/RunningDirectory.java
+++ b/app/src/test/java/org/ragwortmoor/directory/RunningDirectory.java
@@ -47,7 +47,10 @@
                         "",
                         false,
                         3_000,
-                        "");
+                        "",
+                        ControlLimits.DERIVED,
+                        ConnectionLimits.DERIVED);
+        PrometheusRegistry registry = new PrometheusRegistry();
         node =
                 new DirectoryNode(
                         settings,
@@ -55,7 +58,8 @@
                         loops,
                         (promotion, stillValid) ->
                                 CompletableFuture.completedFuture(CallOutcome.ACCEPTED),
-                        new PrometheusRegistry());
+                        new ConnectionGuards(ConnectionLimits.DERIVED, registry),
+                        registry);
     }
 
     private static int freePort() throws Exception {
--- a/app/src/test/java/org/ragwortmoor/transport/EndpointTransportTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/EndpointTransportTest.java
@@ -42,7 +42,8 @@
                             announcements.add(message);
                             reply.send(new PeerBody.AnnouncementAck("fleet-1", "e", 1));
                         },
-                        new TransportMetrics(new PrometheusRegistry()));
+                        new TransportMetrics(new PrometheusRegistry()),
+                        ConnectionGuard.unlimited());
         primary = start("e1");
         replica = start("e2");
     }
--- a/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/ForwardingTransportTest.java
@@ -77,7 +77,8 @@
                 (from, report, reply) ->
                         reply.accept(
                                 ByteString.copyFromUtf8(
-                                        "answer to " + from + ": " + report.toStringUtf8())));
+                                        "answer to " + from + ": " + report.toStringUtf8())),
+                ConnectionGuard.unlimited());
     }
 
     private static ForwardedStatement statement(long stream) {
--- a/app/src/test/java/org/ragwortmoor/transport/FrameFuzzTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/FrameFuzzTest.java
@@ -48,7 +48,8 @@
                         "control-1",
                         Runnable::run,
                         (received, reply) -> receivedMessages.incrementAndGet(),
-                        new TransportMetrics(new PrometheusRegistry()));
+                        new TransportMetrics(new PrometheusRegistry()),
+                        ConnectionGuard.unlimited());
     }
 
     @AfterEach
--- a/app/src/test/java/org/ragwortmoor/transport/LinkedProxies.java
+++ b/app/src/test/java/org/ragwortmoor/transport/LinkedProxies.java
@@ -111,7 +111,8 @@
                             HOST,
                             peerPort,
                             engine::acceptForwarding,
-                            (from, report, reply) -> {});
+                            (from, report, reply) -> {},
+                            ConnectionGuard.unlimited());
             ServerSocketChannel listening = ServerSocketChannel.open();
             listening.bind(new InetSocketAddress(HOST, 0));
             listening.configureBlocking(false);
--- a/app/src/test/java/org/ragwortmoor/transport/NettyHttpServerBodyTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/NettyHttpServerBodyTest.java
@@ -33,6 +33,7 @@
                     HOST,
                     port,
                     1 << 20,
+                    ConnectionGuard.unlimited(),
                     request -> {
                         bodies.add(request.body());
                         return CompletableFuture.completedFuture(
--- a/app/src/test/java/org/ragwortmoor/transport/PeerTransportTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/PeerTransportTest.java
@@ -42,7 +42,8 @@
                 "control-1",
                 Runnable::run,
                 listener,
-                new TransportMetrics(new PrometheusRegistry()));
+                new TransportMetrics(new PrometheusRegistry()),
+                ConnectionGuard.unlimited());
     }
 
     private static PeerBody message(String text) {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -208,9 +208,11 @@
         if (opening == 0) {
             openingStartedAt = host.now();
         }
+        // Counted after it was created: one that failed would be counted as opening for ever.
+        ServerConnection connection =
+                new ServerConnection(host, this, host.now() + SessionSettings.OPEN_TIMEOUT_NANOS);
         opening++;
-        connections.add(
-                new ServerConnection(host, this, host.now() + SessionSettings.OPEN_TIMEOUT_NANOS));
+        connections.add(connection);
     }
 
     /** Removes and returns an idle connection, preferably one with the same session values. */
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -295,11 +295,15 @@
             return;
         }
         dispatching = true;
-        do {
-            dispatchAgain = false;
-            dispatchOnce();
-        } while (dispatchAgain);
-        dispatching = false;
+        try {
+            do {
+                dispatchAgain = false;
+                dispatchOnce();
+            } while (dispatchAgain);
+        } finally {
+            // An error of one statement must not keep all later ones from being dispatched.
+            dispatching = false;
+        }
     }
 
     private void dispatchOnce() {
