--- a/app/src/main/java/org/ragwortmoor/directory/ControlLimits.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ControlLimits.java
@@ -54,8 +54,7 @@
     ControlLimits derive(ProcessResources resources) {
         return new ControlLimits(
                 ConnectionLimits.or(
-                        connections,
-                        Math.max(1, resources.freeDescriptors() / DESCRIPTOR_SHARE)),
+                        connections, Math.max(1, resources.freeDescriptors() / DESCRIPTOR_SHARE)),
                 ConnectionLimits.or(
                         bytes, Math.max(MIN_BYTES, resources.heapBytes() / HEAP_SHARE)));
     }
--- a/app/src/main/java/org/ragwortmoor/transport/CallerConnection.java
+++ b/app/src/main/java/org/ragwortmoor/transport/CallerConnection.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.ragwortmoor.coordination.callers.CallerAccount;
 import org.ragwortmoor.coordination.callers.CallerBudget;
@@ -29,6 +30,9 @@
     /** Delay that a refused caller is told; idle sessions end and others progress meanwhile. */
     private static final String RETRY_HINT = "retry-after-ms=1000 ";
 
+    /** A caller that does not take the error text is not waited for any longer. */
+    private static final long CLOSE_TIMEOUT_SECONDS = 2;
+
     private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
 
     private final Channel channel;
@@ -61,8 +65,7 @@
         if (opened.isEmpty()) {
             channel.config().setAutoRead(false);
             guard.closed(this, CloseReason.SESSIONS);
-            sendError(ErrorCode.OVERLOAD, CloseReason.SESSIONS);
-            StatementLines.closeAfterWrites(channel);
+            sendErrorAndClose(ErrorCode.OVERLOAD, CloseReason.SESSIONS);
             return;
         }
         account = opened.get();
@@ -189,16 +192,16 @@
             channel.close();
             return;
         }
-        sendError(mayHaveRun ? ErrorCode.INDOUBT : ErrorCode.OVERLOAD, reason);
-        StatementLines.closeAfterWrites(channel);
+        sendErrorAndClose(mayHaveRun ? ErrorCode.INDOUBT : ErrorCode.OVERLOAD, reason);
     }
 
-    private void sendError(ErrorCode code, CloseReason reason) {
+    private void sendErrorAndClose(ErrorCode code, CloseReason reason) {
         String hint = code == ErrorCode.OVERLOAD ? RETRY_HINT : "";
         StatementLines.write(
                 channel,
-                List.of(
-                        StatementMessage.of(
-                                MessageKind.ERROR, code.name(), hint + reason.text())));
+                List.of(StatementMessage.of(MessageKind.ERROR, code.name(), hint + reason.text())));
+        StatementLines.closeAfterWrites(channel);
+        channel.eventLoop()
+                .schedule(() -> channel.close(), CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 }
--- a/app/src/main/java/org/ragwortmoor/transport/CallerGuard.java
+++ b/app/src/main/java/org/ragwortmoor/transport/CallerGuard.java
@@ -1,7 +1,6 @@
 package org.ragwortmoor.transport;
 
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 import org.ragwortmoor.coordination.callers.CallerBudget;
 import org.ragwortmoor.coordination.callers.CallerLimits;
--- a/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vavr.control.Option;
 import java.io.IOException;
@@ -27,9 +26,6 @@
 public final class ForwardingServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(ForwardingServer.class);
 
-    /** Holds several answers; a proxy that does not read them is not read beyond it. */
-    private static final int WRITE_BUFFER_HIGH_WATER_BYTES = 4 << 20;
-
     private final Channel listeningChannel;
 
     /**
@@ -58,11 +54,6 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childOption(ChannelOption.SO_KEEPALIVE, true)
-                        .childOption(
-                                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                                new WriteBufferWaterMark(
-                                        WRITE_BUFFER_HIGH_WATER_BYTES / 2,
-                                        WRITE_BUFFER_HIGH_WATER_BYTES))
                         .childHandler(
                                 Channels.initializer(
                                         ForwardingFrames.LIMITS,
@@ -158,6 +149,7 @@
             channel.close();
         }
 
+        /** A proxy that does not read its answers is not read, beyond Netty's 64 KiB. */
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext context) {
             context.channel().config().setAutoRead(context.channel().isWritable());
--- a/app/src/test/java/org/ragwortmoor/transport/NettyHttpServerTest.java
+++ b/app/src/test/java/org/ragwortmoor/transport/NettyHttpServerTest.java
@@ -47,7 +47,14 @@
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
             port = socket.getLocalPort();
         }
-        try (NettyHttpServer server = new NettyHttpServer(loops, HOST, port, 1_024, ConnectionGuard.unlimited(), this::handle);
+        try (NettyHttpServer server =
+                        new NettyHttpServer(
+                                loops,
+                                HOST,
+                                port,
+                                1_024,
+                                ConnectionGuard.unlimited(),
+                                this::handle);
                 Socket socket = new Socket(HOST, port)) {
             socket.setSoTimeout(TIMEOUT_MILLIS);
             String requests =
