Dispatch statements after an error of one statement

A connection that was granted to a statement which could not be sent was never released. It is closed now.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -319,7 +319,7 @@
                 continue;
             }
             if (server.idleCount() > 0 && pendingRequests.remove(request)) {
-                server.acquireIdle(request.values()).forEach(request.listener()::granted);
+                server.acquireIdle(request.values()).forEach(c -> grant(request, c));
                 continue;
             }
             int needed = openingsNeeded.merge(server, 1, Integer::sum);
@@ -329,6 +329,16 @@
         }
     }
 
+    /** Grants a connection; one whose receiver fails would never be released. */
+    private static void grant(ConnectionRequest request, ServerConnection connection) {
+        try {
+            request.listener().granted(connection);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            connection.close("the statement could not be sent");
+            throw e;
+        }
+    }
+
     private Server selectServer(ConnectionRequest request) {
         Server current = leader.server();
         if (request.target() == ConnectionRequest.Target.LEADER) {
