--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -70,6 +70,7 @@
      *
      * @param start start time of the process
      * @param loops an event loop group with one loop
+     * @param guards limits on connections
      * @param registry registry for the transport metrics
      * @throws IOException if an address is in use
      */
@@ -78,6 +79,7 @@
             ProcessStart start,
             EventLoopGroup loops,
             PromotionClient promotions,
+            ConnectionGuards guards,
             PrometheusRegistry registry)
             throws IOException {
         LOG.info("event=start role=directory {}", settings.summary());
@@ -97,7 +99,13 @@
                         this, settings, new StatementClient(loops, host), promotions, loop);
         server =
                 PeerServer.onSharedLoop(
-                        transport, settings.peerPort(), self, loops, listener, metrics);
+                        transport,
+                        settings.peerPort(),
+                        self,
+                        loops,
+                        listener,
+                        metrics,
+                        guards.peers());
         loop.execute(() -> open(start.at()));
         loop.scheduleAtFixedRate(
                 this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -202,6 +210,9 @@
             }
         } catch (RuntimeException e) {
             recover("tick", e);
+        } catch (OutOfMemoryError e) {
+            // An error that is not caught would end the periodic task.
+            recover("tick", new IllegalStateException(e));
         }
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectorySettings.java
@@ -29,6 +29,8 @@
  *     fence
  * @param quotas limits on the operations of workspaces
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
+ * @param controlLimits limits on connections of servers and operators
+ * @param connections limits on other connections
  */
 public record DirectorySettings(
         String failureDomain,
@@ -41,7 +43,9 @@
         boolean platformFencing,
         long primaryLeaseMillis,
         QuotaSettings quotas,
-        String metricsAddress) {
+        String metricsAddress,
+        ControlLimits controlLimits,
+        ConnectionLimits connections) {
     /** Addresses separated by commas; may be empty. */
     static final ValueType<List<String>> SEEDS =
             new ValueType<>("IP:PORT,..., or nothing", DirectorySettings::parseAddresses);
@@ -152,20 +156,7 @@
             new Role<>(
                     "directory",
                     "Runs a directory process: routes, servers, promotions.",
-                    List.of(
-                            DOMAIN,
-                            CONTROL,
-                            PEER_PORT,
-                            SEED_ADDRESSES,
-                            BOOTSTRAP,
-                            DATA,
-                            PROMOTION,
-                            FENCING,
-                            PRIMARY_LEASE,
-                            QUOTA_WINDOW,
-                            QUOTA_EXCESS,
-                            QUOTA_SLACK,
-                            METRICS),
+                    allSettings(),
                     DirectorySettings::of,
                     settings -> List.of());
 
@@ -188,6 +179,28 @@
                 "folder=" + dataFolder);
     }
 
+    private static List<Setting<?>> allSettings() {
+        List<Setting<?>> all =
+                new ArrayList<>(
+                        List.of(
+                                DOMAIN,
+                                CONTROL,
+                                PEER_PORT,
+                                SEED_ADDRESSES,
+                                BOOTSTRAP,
+                                DATA,
+                                PROMOTION,
+                                FENCING,
+                                PRIMARY_LEASE,
+                                QUOTA_WINDOW,
+                                QUOTA_EXCESS,
+                                QUOTA_SLACK,
+                                METRICS));
+        all.addAll(ControlLimits.settings());
+        all.addAll(ConnectionLimits.settings());
+        return List.copyOf(all);
+    }
+
     private static DirectorySettings of(SettingValues values) {
         return new DirectorySettings(
                 values.value(DOMAIN),
@@ -203,7 +216,9 @@
                         values.value(QUOTA_WINDOW),
                         values.value(QUOTA_EXCESS),
                         values.value(QUOTA_SLACK)),
-                values.value(METRICS));
+                values.value(METRICS),
+                ControlLimits.of(values),
+                ConnectionLimits.of(values));
     }
 
     private static Either<String, Boolean> parseSwitch(String text) {
--- a/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
+++ b/app/src/main/java/org/ragwortmoor/directory/StatementProxySettings.java
@@ -1,5 +1,6 @@
 package org.ragwortmoor.directory;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.ragwortmoor.settings.Address;
 import org.ragwortmoor.settings.Role;
@@ -21,6 +22,8 @@
  *     limited
  * @param quotaWindowSeconds window of the quotas of workspaces; 0 if there are none
  * @param metricsAddress address that serves metrics and the state dump; empty to disable it
+ * @param callers limits on callers
+ * @param connections limits on other connections
  */
 public record StatementProxySettings(
         String name,
@@ -32,7 +35,9 @@
         long stopMillis,
         long keyRevocationMillis,
         double quotaWindowSeconds,
-        String metricsAddress) {
+        String metricsAddress,
+        CallerLimitSettings callers,
+        ConnectionLimits connections) {
     private static final Setting<String> NAME =
             Setting.required("name", ValueTypes.NAME, "Identifies the proxy in reports.");
     private static final Setting<Address> STATEMENTS =
@@ -63,17 +68,7 @@
             new Role<>(
                     "statement-proxy",
                     "Runs a proxy for the statement protocol.",
-                    List.of(
-                            NAME,
-                            DirectorySettings.DOMAIN,
-                            STATEMENTS,
-                            READINESS,
-                            DirectorySettings.PEER_PORT,
-                            DirectorySettings.SEED_ADDRESSES,
-                            STOP,
-                            KEY_REVOCATION,
-                            DirectorySettings.QUOTA_WINDOW,
-                            DirectorySettings.METRICS),
+                    allSettings(),
                     StatementProxySettings::of,
                     settings -> List.of());
 
@@ -96,6 +91,25 @@
                 "seeds=" + seeds);
     }
 
+    private static List<Setting<?>> allSettings() {
+        List<Setting<?>> all =
+                new ArrayList<>(
+                        List.of(
+                                NAME,
+                                DirectorySettings.DOMAIN,
+                                STATEMENTS,
+                                READINESS,
+                                DirectorySettings.PEER_PORT,
+                                DirectorySettings.SEED_ADDRESSES,
+                                STOP,
+                                KEY_REVOCATION,
+                                DirectorySettings.QUOTA_WINDOW,
+                                DirectorySettings.METRICS));
+        all.addAll(CallerLimitSettings.settings());
+        all.addAll(ConnectionLimits.settings());
+        return List.copyOf(all);
+    }
+
     private static StatementProxySettings of(SettingValues values) {
         return new StatementProxySettings(
                 values.value(NAME),
@@ -107,6 +121,8 @@
                 values.value(STOP) * 1_000,
                 values.value(KEY_REVOCATION),
                 values.value(DirectorySettings.QUOTA_WINDOW),
-                values.value(DirectorySettings.METRICS));
+                values.value(DirectorySettings.METRICS),
+                CallerLimitSettings.of(values),
+                ConnectionLimits.of(values));
     }
 }
--- a/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/ForwardingServer.java
@@ -36,6 +36,7 @@
      * @param port port to listen on
      * @param sessionFactory creates the session of a new link, given the name of the other proxy
      * @param relay passes on reports of other proxies
+     * @param guard limits the links
      * @throws IOException if the port cannot be bound
      */
     public ForwardingServer(
@@ -43,7 +44,8 @@
             String host,
             int port,
             Function<String, ForwardingSession> sessionFactory,
-            ReportRelay relay)
+            ReportRelay relay,
+            ConnectionGuard guard)
             throws IOException {
         ChannelFuture bound =
                 new ServerBootstrap()
@@ -55,6 +57,7 @@
                         .childHandler(
                                 Channels.initializer(
                                         ForwardingFrames.LIMITS,
+                                        guard,
                                         () -> new Link(sessionFactory, relay)))
                         .bind(host, port)
                         .awaitUninterruptibly();
@@ -146,6 +149,12 @@
             channel.close();
         }
 
+        /** A proxy that does not read its answers is not read, beyond Netty's 64 KiB. */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            context.channel().config().setAutoRead(context.channel().isWritable());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (session != null) {
--- a/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
+++ b/app/src/main/java/org/ragwortmoor/transport/PeerServer.java
@@ -27,6 +27,7 @@
     private final Executor executor;
     private final PeerListener listener;
     private final TransportMetrics metrics;
+    private final ConnectionGuard guard;
     private final PeerFrameEncoder encoder;
     private final Channel listeningChannel;
     private final ChannelGroup acceptedChannels =
@@ -39,6 +40,7 @@
      * @param port port to listen on; 0 for an ephemeral port
      * @param self identifier of this process, sent with each message
      * @param executor runs the calls to the listener
+     * @param guard limits the connections
      * @throws IOException if the port cannot be bound
      */
     public PeerServer(
@@ -47,7 +49,8 @@
             String self,
             Executor executor,
             PeerListener listener,
-            TransportMetrics metrics)
+            TransportMetrics metrics,
+            ConnectionGuard guard)
             throws IOException {
         this(
                 settings,
@@ -57,7 +60,8 @@
                 true,
                 executor,
                 listener,
-                metrics);
+                metrics,
+                guard);
     }
 
     private PeerServer(
@@ -68,7 +72,8 @@
             boolean ownsEventLoops,
             Executor executor,
             PeerListener listener,
-            TransportMetrics metrics)
+            TransportMetrics metrics,
+            ConnectionGuard guard)
             throws IOException {
         this.settings = settings;
         this.eventLoops = eventLoops;
@@ -76,6 +81,7 @@
         this.executor = executor;
         this.listener = listener;
         this.metrics = metrics;
+        this.guard = guard;
         this.encoder = new PeerFrameEncoder(self, settings, metrics);
         ChannelFuture bindFuture = bind(port);
         if (!bindFuture.isSuccess()) {
@@ -91,6 +97,7 @@
      * open when it is closed.
      *
      * @param eventLoops group with a single loop, on which the listener is called too
+     * @param guard limits the connections
      * @throws IOException if the port cannot be bound
      */
     public static PeerServer onSharedLoop(
@@ -99,10 +106,19 @@
             String self,
             EventLoopGroup eventLoops,
             PeerListener listener,
-            TransportMetrics metrics)
+            TransportMetrics metrics,
+            ConnectionGuard guard)
             throws IOException {
         return new PeerServer(
-                settings, port, self, eventLoops, false, eventLoops.next(), listener, metrics);
+                settings,
+                port,
+                self,
+                eventLoops,
+                false,
+                eventLoops.next(),
+                listener,
+                metrics,
+                guard);
     }
 
     private void shutdownOwnedLoops() {
@@ -123,6 +139,7 @@
                 .childHandler(
                         Channels.initializer(
                                 settings.frameLimits(),
+                                guard,
                                 () ->
                                         new PeerChannel(
                                                 "unknown",
--- a/app/src/test/java/org/ragwortmoor/directory/DirectoryClientTest.java
+++ b/app/src/test/java/org/ragwortmoor/directory/DirectoryClientTest.java
@@ -28,6 +28,7 @@
 import org.ragwortmoor.protocol.wire.NodeReportMessage;
 import org.ragwortmoor.state.directory.ServerRecord;
 import org.ragwortmoor.state.routes.RouteTable;
+import org.ragwortmoor.transport.ConnectionGuard;
 import org.ragwortmoor.transport.ForwardingClient;
 import org.ragwortmoor.transport.ForwardingServer;
 
@@ -133,7 +134,8 @@
                 HOST,
                 port,
                 engine()::acceptForwarding,
-                (from, report, reply) -> reports.add(report));
+                (from, report, reply) -> reports.add(report),
+                ConnectionGuard.unlimited());
     }
 
     /** An answer to the process before a restart would grant a lease that nobody records. */
--- a/app/src/test/java/org/ragwortmoor/directory/RunningDirectory.java
+++ b/app/src/test/java/org/ragwortmoor/directory/RunningDirectory.java
@@ -49,7 +49,10 @@
                         false,
                         3_000,
                         new QuotaSettings(0, 0, 0),
-                        "");
+                        "",
+                        ControlLimits.DERIVED,
+                        ConnectionLimits.DERIVED);
+        PrometheusRegistry registry = new PrometheusRegistry();
         node =
                 new DirectoryNode(
                         settings,
@@ -57,7 +60,8 @@
                         loops,
                         (promotion, stillValid) ->
                                 CompletableFuture.completedFuture(CallOutcome.ACCEPTED),
-                        new PrometheusRegistry());
+                        new ConnectionGuards(ConnectionLimits.DERIVED, registry),
+                        registry);
     }
 
     private static int freePort() throws Exception {
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ConnectionRequest.java
@@ -100,4 +100,14 @@
     Listener listener() {
         return listener;
     }
+
+    /** Grants a connection; one whose receiver fails would never be released. */
+    void grant(ServerConnection connection) {
+        try {
+            listener.granted(connection);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            connection.close("the statement could not be sent");
+            throw e;
+        }
+    }
 }
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -294,10 +294,12 @@
         if (opening == 0) {
             openingStartedAt = host.now();
         }
+        // Counted after it was created: one that failed would be counted as opening for ever.
+        long deadline = host.now() + SessionSettings.OPEN_TIMEOUT_NANOS;
+        ServerConnection connection = new ServerConnection(host, this, workspace, deadline);
         opening++;
         openingByWorkspace.merge(workspace, 1, Integer::sum);
-        long deadline = host.now() + SessionSettings.OPEN_TIMEOUT_NANOS;
-        connections.add(new ServerConnection(host, this, workspace, deadline));
+        connections.add(connection);
     }
 
     /**
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -317,11 +317,15 @@
             return;
         }
         dispatching = true;
-        do {
-            dispatchAgain = false;
-            dispatchOnce();
-        } while (dispatchAgain);
-        dispatching = false;
+        try {
+            do {
+                dispatchAgain = false;
+                dispatchOnce();
+            } while (dispatchAgain);
+        } finally {
+            // An error of one statement must not keep all later ones from being dispatched.
+            dispatching = false;
+        }
     }
 
     private void dispatchOnce() {
@@ -338,8 +342,7 @@
                 continue;
             }
             if (server.idleCount(workspace) > 0 && pendingRequests.remove(request)) {
-                server.acquireIdle(workspace, request.values())
-                        .forEach(request.listener()::granted);
+                server.acquireIdle(workspace, request.values()).forEach(request::grant);
                 continue;
             }
             int needed = openingsNeeded.merge(new Opening(server, workspace), 1, Integer::sum);
