Split the events of the log from the directory's node

Change: DirectoryLogEvents sends the messages of the log; GroupDescription writes the line of the state dump; the unused ServerGroup.close is gone.

--- a/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
+++ b/app/src/main/java/org/ragwortmoor/directory/DirectoryNode.java
@@ -1,6 +1,5 @@
 package org.ragwortmoor.directory;
 
-import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -13,7 +12,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.ragwortmoor.coordination.consensus.ConsensusAction;
 import org.ragwortmoor.coordination.consensus.ConsensusEvent;
 import org.ragwortmoor.coordination.consensus.ConsensusMessage;
 import org.ragwortmoor.protocol.ConsensusCodec;
@@ -117,7 +115,11 @@
             return;
         }
         Either<StorageError, DirectoryLog> opened =
-                DirectoryLog.open(settings, addresses, closedSince, new LogListener());
+                DirectoryLog.open(
+                        settings,
+                        addresses,
+                        closedSince,
+                        new DirectoryLogEvents(peers, addresses, this::applied));
         if (opened.isLeft()) {
             LOG.warn(
                     "event=storage_unavailable reason=\"{}\" retry_ms={}",
@@ -280,31 +282,10 @@
         return log == null ? List.of() : log.log().node().configuration().members();
     }
 
-    private final class LogListener implements DirectoryLog.Listener {
-        @Override
-        public void send(ConsensusAction.Send send) {
-            byte[] bytes = ConsensusCodec.encode(send.message()).toByteArray();
-            peers.send(
-                    addresses.of(send.message().to().node()),
-                    new PeerBody.Consensus(ByteString.copyFrom(bytes)));
-        }
-
-        @Override
-        public void elected(long term) {
-            LOG.info("event=elected term={}", term);
-        }
-
-        @Override
-        public void deposed(String reason) {
-            LOG.info("event=deposed reason=\"{}\"", reason);
-        }
-
-        @Override
-        public void applied(DirectoryCommand command, long index) {
-            leaderDuties.follow();
-            if (leading) {
-                leaderDuties.applied(command, index);
-            }
+    private void applied(DirectoryCommand command, long index) {
+        leaderDuties.follow();
+        if (leading) {
+            leaderDuties.applied(command, index);
         }
     }
 
--- a/core/src/main/java/org/ragwortmoor/coordination/session/GroupDescription.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/GroupDescription.java
@@ -10,7 +10,8 @@
 
     static String of(ServerGroup group) {
         StringBuilder line = new StringBuilder("group " + group.name());
-        line.append(" leader=").append(Option.of(group.leader().server()).map(s -> s.record().id()));
+        line.append(" leader=")
+                .append(Option.of(group.leader().server()).map(s -> s.record().id()));
         line.append(" unproved_ms=").append(group.leader().nanosWithoutProof() / NANOS_PER_MILLI);
         line.append(" denied=").append(group.leader().hasDenied());
         line.append(" lease=").append(group.lease());
--- a/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/ServerGroup.java
@@ -181,12 +181,6 @@
         return GroupDescription.of(this);
     }
 
-    /** Closes all connections once no route leads to the group. */
-    void close() {
-        servers.values().forEach(server -> server.closeAll("no route leads to the group"));
-        servers.clear();
-    }
-
     /** Opens and closes idle connections, probes the leader and expires connection requests. */
     void tick() {
         for (Server server : servers.values()) {
