Name the recent uses of connections apart from the use of quotas

Cause: two packages had a class WorkspaceUsage with different meanings, and deployments without workspaces counted uses that nothing reads.

Change: the one of the connection pool is RecentUses, and counts only the uses of workspaces.

--- a/core/src/main/java/org/ragwortmoor/coordination/session/IdleConnections.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/IdleConnections.java
@@ -74,14 +74,14 @@
      * with the fewest recent uses, where a further connection of a workspace counts less. Of equal
      * ones, it is the least recently used one.
      */
-    ServerConnection leastUseful(WorkspaceUsage usage, long now) {
+    ServerConnection leastUseful(RecentUses recentUses, long now) {
         ServerConnection least = null;
         double fewestUses = Double.MAX_VALUE;
         Map<String, Integer> counts = new HashMap<>();
         for (ServerConnection connection : connections) {
             String workspace = connection.workspace();
             int count = counts.merge(workspace, 1, Integer::sum);
-            double uses = usage.usesAt(workspace, now) / count;
+            double uses = recentUses.usesAt(workspace, now) / count;
             if (uses <= fewestUses) {
                 least = connection;
                 fewestUses = uses;
--- a/core/src/main/java/org/ragwortmoor/coordination/session/WorkspaceUsage.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/RecentUses.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** How often each workspace has used connections to a server lately. */
-final class WorkspaceUsage {
+final class RecentUses {
     /** Time in which the weight of a use falls to 1/e; small workspaces send one in some 20 s. */
     private static final double DECAY_NANOS = TimeUnit.SECONDS.toNanos(30);
 
--- a/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
+++ b/core/src/main/java/org/ragwortmoor/coordination/session/Server.java
@@ -22,7 +22,7 @@
     private final ServerGroup group;
     private final Set<ServerConnection> connections = new LinkedHashSet<>();
     private final IdleConnections idle = new IdleConnections();
-    private final WorkspaceUsage usage = new WorkspaceUsage();
+    private final RecentUses recentUses = new RecentUses();
     private final Set<ServerConnection> probing = new HashSet<>();
     private final Map<String, Integer> openingByWorkspace = new HashMap<>();
     private ServerRecord record;
@@ -249,7 +249,7 @@
             if (opening > 0 || (mayWait && inUse(workspace) > 0)) {
                 return;
             }
-            closeIdle(idle.leastUseful(usage, host.now()), IdleClosingCause.REPLACED);
+            closeIdle(idle.leastUseful(recentUses, host.now()), IdleClosingCause.REPLACED);
         }
         open(workspace, OpeningCause.DEMAND);
     }
@@ -307,7 +307,9 @@
      * values.
      */
     Option<ServerConnection> acquireIdle(String workspace, Map<String, String> values) {
-        usage.record(workspace, host.now());
+        if (!workspace.isEmpty()) {
+            recentUses.record(workspace, host.now());
+        }
         return idle.take(workspace, values);
     }
 
