List the new metrics on their page

Cause: three metrics of quotas and of limits on connections had no line in docs/metrics.md, and the test of that page did not use their classes.

Change: QuotaMetrics holds the counter of quota decisions, the page lists the three metrics, the test uses both classes; they have no exemplars.

--- a/app/src/main/java/org/ragwortmoor/directory/LimitMetrics.java
+++ b/app/src/main/java/org/ragwortmoor/directory/LimitMetrics.java
@@ -24,12 +24,14 @@
                         .name("ragwortmoor_connections_limited_total")
                         .help("Connections that were refused or closed, by interface and limit")
                         .labelNames("interface", "limit")
+                        .withoutExemplars()
                         .register(registry);
         paused =
                 Counter.builder()
                         .name("ragwortmoor_connections_paused_total")
                         .help("How often a connection was not read because of what is held")
                         .labelNames("interface")
+                        .withoutExemplars()
                         .register(registry);
     }
 
--- a/app/src/main/java/org/ragwortmoor/directory/ProxyQuotas.java
+++ b/app/src/main/java/org/ragwortmoor/directory/ProxyQuotas.java
@@ -1,10 +1,8 @@
 package org.ragwortmoor.directory;
 
 import io.netty.channel.EventLoop;
-import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.ragwortmoor.coordination.quota.QuotaAccount;
 import org.ragwortmoor.coordination.quota.QuotaHost;
@@ -30,7 +28,7 @@
     private final QuotaSettings settings;
     private final QuotaAccount account;
     private final LineLimit lines = new LineLimit(LINES_PER_SECOND, System::nanoTime);
-    private final Counter operations;
+    private final QuotaMetrics metrics;
 
     /**
      * Creates quotas without limits.
@@ -46,12 +44,7 @@
         // The excess and the slack matter to the leader only.
         this.settings = new QuotaSettings(windowSeconds, 0, 0);
         this.account = new QuotaAccount(settings, new Host(loop, sendReport));
-        this.operations =
-                Counter.builder()
-                        .name("ragwortmoor_quota_operations_total")
-                        .help("Operations of limited workspaces by decision")
-                        .labelNames("decision")
-                        .register(registry);
+        this.metrics = new QuotaMetrics(registry);
     }
 
     /** Returns what decides whether operations may start. */
@@ -135,13 +128,13 @@
 
         @Override
         public void decided(String workspace, Decision decision) {
-            operations.labelValues(decision.name().toLowerCase(Locale.ROOT)).inc();
+            metrics.decided(decision);
             boolean refused = decision == Decision.EXHAUSTED || decision == Decision.UNANSWERED;
             if (refused && lines.tryAcquire()) {
                 LOG.info(
                         "event=quota_refused workspace={} decision={} omitted={}",
                         workspace,
-                        decision.name().toLowerCase(Locale.ROOT),
+                        QuotaMetrics.label(decision),
                         lines.takeOmitted());
             }
         }
--- a/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
+++ b/app/src/test/java/org/ragwortmoor/daemon/MetricsPageTest.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -17,8 +18,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.ragwortmoor.coordination.engine.Counter;
+import org.ragwortmoor.coordination.quota.QuotaHost;
 import org.ragwortmoor.directory.AnnouncementGate;
 import org.ragwortmoor.directory.DecisionLogger;
+import org.ragwortmoor.directory.LimitMetrics;
+import org.ragwortmoor.directory.QuotaMetrics;
 import org.ragwortmoor.directory.TrafficMetrics;
 import org.ragwortmoor.transport.TransportMetrics;
 
@@ -55,6 +59,10 @@
         decisions.serverAnswered("signed");
         decisions.answerMismatched("group", "server", "kind", "id", "message");
         decisions.keyRefused("unknown");
+        new QuotaMetrics(registry).decided(QuotaHost.Decision.PERMITTED);
+        LimitMetrics limits = new LimitMetrics(registry);
+        limits.paused("callers");
+        limits.closed(new InetSocketAddress("127.0.0.1", 1), "callers", "sessions");
         new TrafficMetrics(registry);
         new AnnouncementGate(registry, System::currentTimeMillis, System::nanoTime)
                 .recordUnreadable("server", "reason");
@@ -103,7 +111,9 @@
                             "AnnouncementGate.java",
                             "ControlMetrics.java",
                             "DecisionLogger.java",
+                            "LimitMetrics.java",
                             "ProxyMetrics.java",
+                            "QuotaMetrics.java",
                             "TrafficMetrics.java",
                             "TransportMetrics.java");
         }
