--- a/review/standins-2/Group.java
+++ b/review/standins-2/Group.java
@@ -93,6 +93,17 @@
         }
     }
 
+    /** Returns a path and a body for each server, as of a heartbeat that names another service. */
+    List<String[]> heartbeats(String service, long number) {
+        List<String[]> all = new ArrayList<>();
+        for (Server server : servers) {
+            all.add(new String[] {
+                "/instances/" + server.id + "/heartbeat", server.heartbeat(service, number)
+            });
+        }
+        return all;
+    }
+
     private static void daemon(Runnable task) {
         Thread thread = new Thread(task, "stand-in");
         thread.setDaemon(true);
@@ -129,12 +140,7 @@
 
         void beat(List<String> controls) {
             while (!closed) {
-                String body = "{\"service\":\"" + SERVICE + "\",\"address\":\""
-                        + socket.getInetAddress().getHostAddress() + ":" + socket.getLocalPort()
-                        + "\",\"zone\":\"z" + zone + "\",\"version\":\"v1\",\"capacity\":" + SLOTS
-                        + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"db_role\":\""
-                        + (leads(id) ? "primary" : "replica") + "\",\"sequence\":" + (++sequence)
-                        + ",\"born\":" + born + "}";
+                String body = heartbeat(SERVICE, ++sequence);
                 for (String control : controls) {
                     String path = "/instances/" + id + "/heartbeat";
                     if (harness.call(control, "POST", path, body, 1000).status() == 200) {
@@ -145,6 +151,15 @@
             }
         }
 
+        String heartbeat(String service, long number) {
+            return "{\"service\":\"" + service + "\",\"address\":\""
+                    + socket.getInetAddress().getHostAddress() + ":" + socket.getLocalPort()
+                    + "\",\"zone\":\"z" + zone + "\",\"version\":\"v1\",\"capacity\":" + SLOTS
+                    + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"db_role\":\""
+                    + (leads(id) ? "primary" : "replica") + "\",\"sequence\":" + number
+                    + ",\"born\":" + born + "}";
+        }
+
         private void accept() {
             while (!closed) {
                 try {
